--- a/peatlink/adapter.py
+++ b/lotuspick/adapter.py
@@ -1,7 +1,7 @@
 """Wire codec and loop: many isolated controllers behind one standard input and output.
 
 The text wire comes in as batches of events for numbered instances and goes out as one reply of actions
-each. Nothing is decided here: lines become the events of :mod:`peatlink.interface` and its actions become
+each. Nothing is decided here: lines become the events of :mod:`lotuspick.interface` and its actions become
 lines. A malformed line ends the process with a message on standard error; an exception inside one
 instance is reported on the wire as that instance's fault.
 """
@@ -13,8 +13,8 @@
 from collections.abc import Callable, Iterator
 from typing import TextIO
 
-from peatlink.control import Controller
-from peatlink.interface import (
+from lotuspick.control import Controller
+from lotuspick.interface import (
     Action,
     ClassSettings,
     Ended,
@@ -401,7 +401,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"peatlink: {error}", file=sys.stderr)
+        print(f"lotuspick: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/peatlink/control.py
+++ b/lotuspick/control.py
@@ -1,4 +1,4 @@
-"""All decisions of a peatlink gateway. Types, events and actions: see peatlink/interface.py.
+"""All decisions of a lotuspick gateway. Types, events and actions: see lotuspick/interface.py.
 
 Mechanism: popularity-based bandwidth prepartitioning (PBP) with f2 sizing. Each server's link is split into
 length pools sized by popularity x length of the hints heard; a session enters where the pools at or below its
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeGuard
 
-from peatlink.interface import (Action, ClassSettings, Ended, Event, Fail, Log, Note, Refuse, Send,
+from lotuspick.interface import (Action, ClassSettings, Ended, Event, Fail, Log, Note, Refuse, Send,
                                 ServerEntry, ServerList, SessionPlaying, SessionRequest, SetRung, SetTimer,
                                 Settings, Started, Subscribe, TimerFired, ViewerGone)
 
--- a/peatlink/interface.py
+++ b/lotuspick/interface.py
@@ -1,8 +1,8 @@
-"""The interface of peatlink: settings, events and actions of one gateway's controller.
+"""The interface of lotuspick: settings, events and actions of one gateway's controller.
 
 Times are whole microseconds on the gateway's own clock, rates are kB a second, shares and loads are
 fractions (1.0 = all of it). Every object checks its own values when it is made and raises ``ValueError``
-naming what is wrong, so that :meth:`peatlink.control.Controller.handle` only ever sees sound input.
+naming what is wrong, so that :meth:`lotuspick.control.Controller.handle` only ever sees sound input.
 """
 
 from __future__ import annotations
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from peatlink.control import Controller
-from peatlink.interface import (
+from lotuspick.control import Controller
+from lotuspick.interface import (
     ClassSettings,
     Ended,
     Note,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from peatlink.adapter import read_settings
+from lotuspick.adapter import read_settings
 
 PAIRS = (
     "Az=a Categories.count=2 Categories.0.Name=clip Categories.0.Repeat=pure Categories.0.TargetUs=1000000 "
@@ -30,7 +30,7 @@
 
 
 def run(text: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "peatlink.adapter"], input=text, capture_output=True, text=True,
+    return subprocess.run([sys.executable, "-m", "lotuspick.adapter"], input=text, capture_output=True, text=True,
                           check=False)
 
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -7,8 +7,8 @@
 import pytest
 from helpers import SECOND, controller, entry, of, place, request, settings
 
-from peatlink.control import Controller
-from peatlink.interface import ClassSettings, Ended, Note, Refuse, Send, ServerList, SetRung, TimerFired
+from lotuspick.control import Controller
+from lotuspick.interface import ClassSettings, Ended, Note, Refuse, Send, ServerList, SetRung, TimerFired
 
 NOW = 20 * SECOND
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -5,8 +5,8 @@
 import pytest
 from helpers import SECOND, controller, of, place, request, servers, settings
 
-from peatlink.control import BIND_FROM, CALM_US, FADE_US, FRESH_US, LIMIT, Controller
-from peatlink.interface import (
+from lotuspick.control import BIND_FROM, CALM_US, FADE_US, FRESH_US, LIMIT, Controller
+from lotuspick.interface import (
     ClassSettings,
     Ended,
     Note,
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -7,8 +7,17 @@
 import pytest
 from helpers import SECOND, entry, of, request, servers, settings
 
-from peatlink.control import Controller
-from peatlink.interface import ClassSettings, Ended, Refuse, Send, ServerList, SetTimer, Subscribe, TimerFired
+from lotuspick.control import Controller
+from lotuspick.interface import (
+    ClassSettings,
+    Ended,
+    Refuse,
+    Send,
+    ServerList,
+    SetTimer,
+    Subscribe,
+    TimerFired,
+)
 
 NOW = 20 * SECOND
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -5,8 +5,8 @@
 import pytest
 from helpers import LADDER, SECOND, controller, place, request
 
-from peatlink.control import LIMIT, WINDOW_US
-from peatlink.interface import Ended, Note, Started
+from lotuspick.control import LIMIT, WINDOW_US
+from lotuspick.interface import Ended, Note, Started
 
 NOW = 20 * SECOND
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from peatlink.control import Controller
-from peatlink.interface import (
+from lotuspick.control import Controller
+from lotuspick.interface import (
     ClassSettings,
     Ended,
     Event,
