--- /dev/null
+++ b/lotuspick/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: command line, configuration, logging and the assembly of all parts."""
--- /dev/null
+++ b/lotuspick/program/config.py
@@ -0,0 +1,196 @@
+"""The one place where configuration is read, checked and given defaults.
+
+A broker is told what it is by the JSON file that ``PROXY_CONFIG`` names; the second front is switched on by a
+file of the operators' own, ``deploy/hints.toml``. Each message names the key at fault.
+"""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from lotuspick.interface import Settings
+from lotuspick.protocol import coordinator
+from lotuspick.protocol.faults import ProtocolFault
+from lotuspick.settings import WireError, read_settings, whole
+
+DEFAULT_HINTS = Path("deploy/hints.toml")
+DEFAULT_MEMORY_MB, DEFAULT_SOCKETS = 192, 1_024
+LEAST_SOCKETS = 64
+DEFAULT_PERIOD_US = 10_000
+DEFAULT_DIAL_US = 250_000
+DEFAULT_IDLE_US = 30_000_000
+DEFAULT_STREAMS = 32
+SILENCE_US = 5_000_000  # least silence of a connection with sessions before it is checked
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used; the text names the file and the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class HintsConfig:
+    """The second front: CMCD and CMSD over HTTP."""
+
+    enabled: bool = False
+    host: str = "127.0.0.1"
+    port: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    sockets: int
+    memory_mb: int
+    coordinator_address: str
+    index: int
+    changes: tuple[coordinator.Change, ...]
+    """The coordinator's events so far."""
+    settings: Settings
+    period_us: int
+    dial_us: int
+    idle_us: int
+    silence_us: int
+    streams_per_connection: int
+    hints: HintsConfig
+
+
+def load(environment: Mapping[str, str], path: Path | None = None, hints: Path | None = None) -> Config:
+    """Read all of it: the file at ``path``, or that of ``PROXY_CONFIG``; the environment wins over both."""
+    named = str(path or environment.get("PROXY_CONFIG", ""))
+    if not named:
+        raise ConfigError("PROXY_CONFIG is not set and no file is given")
+    try:
+        told = json.loads(Path(named).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{named}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{named}: not JSON: {error}") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"{named}: not an object")
+    told = dict(told)
+    for key, variable in (("name", "PROXY_NAME"), ("listen", "PROXY_LISTEN")):
+        if environment.get(variable):
+            told[key] = environment[variable]
+    try:
+        return read(told, read_hints(hints))
+    except ConfigError as error:
+        raise ConfigError(f"{named}: {error}") from None
+
+
+def read(told: Mapping[str, Any], hints: HintsConfig | None = None) -> Config:
+    """Check the parsed object and give defaults."""
+    settings = _get(told, "settings", dict)
+    pairs = dict(flatten(settings))
+    known = told.get("known", {"index": 0, "updates": []})
+    try:
+        index, changes = coordinator.read(known, 0)
+    except ProtocolFault as fault:
+        raise ConfigError(f"known: {fault}") from None
+    try:
+        dial_us = whole(pairs, "Limits.DialTimeoutUs", DEFAULT_DIAL_US)
+        idle_us = whole(pairs, "Limits.ConnIdleUs", DEFAULT_IDLE_US)
+        tell_us, seen_us = whole(pairs, "FamilyInfo.TellUs", 0), whole(pairs, "FamilyInfo.SeenAfterUs", 0)
+        limits = _get(told, "limits", dict, {})
+        return Config(
+            name=_get(told, "name", str),
+            listen=_address(told, "listen"),
+            seed=_seed(told),
+            sockets=_number(limits, "limits.sockets", DEFAULT_SOCKETS, LEAST_SOCKETS),
+            memory_mb=_number(limits, "limits.memory_mb", DEFAULT_MEMORY_MB, 1),
+            coordinator_address="{}:{}".format(*_address(told, "coordinator")),
+            index=index,
+            changes=tuple(changes),
+            settings=read_settings(pairs),
+            period_us=max(1_000, whole(pairs, "PeriodUs", DEFAULT_PERIOD_US)),
+            dial_us=dial_us or DEFAULT_DIAL_US,
+            idle_us=idle_us or DEFAULT_IDLE_US,
+            silence_us=max(SILENCE_US, tell_us + seen_us),
+            streams_per_connection=max(1, whole(pairs, "Limits.StreamsPerConn", DEFAULT_STREAMS)),
+            hints=hints or HintsConfig(),
+        )
+    except WireError as error:
+        raise ConfigError(f"settings: {error}") from None
+    except ValueError as error:
+        raise ConfigError(str(error)) from None
+
+
+def read_hints(path: Path | None = None) -> HintsConfig:
+    """The second front's file; without one it is off."""
+    if path is None:
+        path = DEFAULT_HINTS
+        if not path.exists():
+            return HintsConfig()
+    try:
+        told = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not TOML: {error}") from None
+    unknown = sorted(set(told) - {"enabled", "listen"})
+    if unknown:
+        raise ConfigError(f"{path}: {unknown[0]} is not a key of this file")
+    try:
+        enabled = _get(told, "enabled", bool, False)
+        host, port = _address(told, "listen") if "listen" in told else ("127.0.0.1", 0)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if enabled and not host.startswith("127.") and host != "localhost":
+        raise ConfigError(f"{path}: listen must be a loopback address, not {host}")
+    return HintsConfig(enabled, host, port)
+
+
+def flatten(value: Any, at: str = "") -> Iterator[tuple[str, str]]:
+    """Nested JSON as the path=value pairs of the simulator's wire."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from flatten(inner, f"{at}.{key}" if at else str(key))
+    elif isinstance(value, list) and any(isinstance(each, dict) for each in value):
+        yield f"{at}.count", str(len(value))
+        for index, inner in enumerate(value):
+            yield from flatten(inner, f"{at}.{index}")
+    elif isinstance(value, list):
+        yield at, ",".join(_scalar(each) for each in value)
+    elif value is not None:
+        yield at, _scalar(value)
+
+
+def _scalar(value: Any) -> str:
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def _get(told: Mapping[str, Any], key: str, kind: type, default: Any = None) -> Any:
+    value = told.get(key, default)
+    if value is None:
+        raise ConfigError(f"{key} is missing")
+    if not isinstance(value, kind):
+        raise ConfigError(f"{key} must be {kind.__name__}, not {str(value)[:40]!r}")
+    return value
+
+
+def _number(told: Mapping[str, Any], key: str, default: int, least: int) -> int:
+    value = told.get(key.rpartition(".")[2], default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
+        raise ConfigError(f"{key} must be a number of {least} or more, not {str(value)[:40]!r}")
+    return int(value)
+
+
+def _address(told: Mapping[str, Any], key: str) -> tuple[str, int]:
+    try:
+        return coordinator.address(_get(told, key, str))
+    except ProtocolFault as fault:
+        raise ConfigError(f"{key}: {fault}") from None
+
+
+def _seed(told: Mapping[str, Any]) -> int:
+    text = _get(told, "seed", str, "0")
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise ConfigError(f"seed must be hex digits, not {text[:40]!r}") from None
--- /dev/null
+++ b/lotuspick/program/daemon.py
@@ -0,0 +1,102 @@
+"""The real broker: puts the module, the loop and the transports together, and ends them in order."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import resource
+import signal
+from typing import Any
+
+from lotuspick.control import Controller
+from lotuspick.program.config import Config
+from lotuspick.protocol.coordinator import Change
+from lotuspick.routing.loop import Loop
+from lotuspick.routing.ports import Roster
+from lotuspick.transport.base import Reactor, now_us
+from lotuspick.transport.coordinator import Feed
+from lotuspick.transport.edges import EdgeLimits, EdgePool
+from lotuspick.transport.viewers import RtspFront, RtspViewer
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 256
+STAY_S = 0.8  # after SIGTERM requests keep coming for 0.6 s; those up to 0.7 s are owed an answer
+LONGEST_S = 30.0  # no set-up waits longer for its answer
+SECOND = 1_000_000
+
+
+class Daemon:
+    """One broker in one process."""
+
+    def __init__(self, config: Config, reactor: Reactor) -> None:
+        self.config, self.reactor = config, reactor
+        self.module = Controller(config.settings, config.seed)
+        limits = EdgeLimits(
+            dial_s=config.dial_us / SECOND, idle_s=config.idle_us / SECOND,
+            silence_s=config.silence_us / SECOND, per_connection=config.streams_per_connection,
+            connections=config.sockets // 3)
+        self.edges = EdgePool(reactor, limits, self._post, lambda edge: self.loop.standing(edge))
+        self.loop = Loop(self.module, self.edges, now_us, self._wake, config.period_us,
+                         frozenset(each.name for each in config.settings.classes))
+        self.front = RtspFront(reactor, self._post, self._ready, config.sockets // 3, self._in_use)
+        self.feed = Feed(reactor, config.coordinator_address, config.index, self._changed)
+        self.stopping = False
+        self._call: Any = None
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, and until nothing is owed any more."""
+        _bound_descriptors(self.config.sockets)
+        for change in self.config.changes:
+            self._changed(change)
+        self.loop.tick()
+        host, port = self.config.listen
+        self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
+        self.edges.start()
+        self.feed.poll()
+        gc.collect()
+        gc.freeze()  # what is here now stays: collections need not look at it
+        log.info("serving", extra={"broker": self.config.name, "listen": f"{host}:{port}", "servers": len(self.module.servers)})
+        self.reactor.run(installSignalHandlers=False)
+        log.info("stopped")
+
+    def stop(self) -> None:
+        """A planned end: go on accepting and answering, and exit once nothing is owed."""
+        if self.stopping:
+            return
+        self.stopping = True
+        log.info("stopping", extra={"sessions": len(self.loop.table)})
+        self.reactor.callLater(STAY_S, self._stop_when_done, self.reactor.seconds() + LONGEST_S)
+
+    def _stop_when_done(self, last_s: float) -> None:
+        if self.loop.owes and self.reactor.seconds() < last_s:
+            self.reactor.callLater(0.02, self._stop_when_done, last_s)
+        else:
+            self.reactor.callLater(0.05, self.reactor.stop)  # answers just written leave first
+
+    def _post(self, item: Any) -> None:
+        self.loop.post(item)
+
+    def _wake(self, at_us: int) -> None:
+        if self._call is not None and self._call.active():
+            self._call.cancel()
+        self._call = self.reactor.callLater(max(0, at_us - now_us()) / SECOND, self.loop.tick)
+
+    def _ready(self) -> bool:
+        return bool(self.module.servers) and not self.stopping
+
+    def _in_use(self, viewer: RtspViewer) -> bool:
+        return any(entry.viewer is viewer and not entry.stands for entry in self.loop.table.values())
+
+    def _changed(self, change: Change) -> None:
+        self.edges.named(change.news, change.addresses)
+        self.loop.post(Roster(change.news))
+
+
+def _bound_descriptors(most: int) -> None:
+    """Keep the process itself inside its limit, whatever it was started with."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft > most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
--- /dev/null
+++ b/lotuspick/program/logs.py
@@ -0,0 +1,18 @@
+"""Logging: one key=value line for each event, on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+from logfmter import Logfmter
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def start(level: str) -> None:
+    """Send all log lines to standard error as ``when=... at=... msg=... key=value``."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(Logfmter(keys=["when", "at", "logger"],
+                                  mapping={"when": "asctime", "at": "levelname", "logger": "name"}))
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- /dev/null
+++ b/lotuspick/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs, pure and incremental: bytes and text in, messages out, and errors that name the fault."""
--- /dev/null
+++ b/lotuspick/protocol/coordinator.py
@@ -0,0 +1,84 @@
+"""The coordinator's events: JSON of one answer, or of ``known``, as changes of the server list."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from lotuspick.interface import ServerEntry, ServerList
+from lotuspick.protocol.faults import ProtocolFault
+
+STATES = {"in_service": "active", "terminating": "draining", "terminated": "gone"}
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One event: news for the module, and the address of each server that it names."""
+
+    index: int
+    news: ServerList
+    addresses: dict[str, tuple[str, int]]
+
+
+def parse(text: bytes, after: int) -> tuple[int, list[Change]]:
+    """The last index and the changes of one answer that are later than ``after``."""
+    try:
+        return read(json.loads(text), after)
+    except (ValueError, RecursionError):
+        raise ProtocolFault(f"answer is not JSON: {text[:40]!r}") from None
+
+
+def read(answer: Any, after: int) -> tuple[int, list[Change]]:
+    """The same for JSON that is parsed already."""
+    if not isinstance(answer, dict):
+        raise ProtocolFault("answer is not an object")
+    last = _get(answer, "index", int)
+    changes = [change for update in _get(answer, "updates", list) for change in _change(update)]
+    return last, [change for change in changes if change.index > after]
+
+
+def address(text: str) -> tuple[str, int]:
+    """host:port."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ProtocolFault(f"address is not host:port: {text[:60]!r}")
+    return host.strip("[]"), int(port)
+
+
+def _get(owner: dict[str, Any], name: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
+    value = owner.get(name, default)
+    if isinstance(value, bool) and kind is not bool or not isinstance(value, kind):
+        raise ProtocolFault(f"{name} is {'missing' if value is None else f'malformed: {str(value)[:40]!r}'}")
+    return value
+
+
+def _change(update: Any) -> Iterator[Change]:
+    if not isinstance(update, dict):
+        raise ProtocolFault("update is not an object")
+    index = _get(update, "index", int)
+    if "endpoints" not in update:
+        return  # an event of a kind that concerns others
+    endpoints = _get(update, "endpoints", dict)
+    entries, addresses = [], {}
+    for server in _get(endpoints, "servers", list):
+        if not isinstance(server, dict):
+            raise ProtocolFault("server is not an object")
+        entry = _entry(server)
+        entries.append(entry)
+        addresses[entry.server] = address(_get(server, "addr", str))
+    yield Change(index, ServerList(entries, complete=_get(endpoints, "full", bool, False)), addresses)
+
+
+def _entry(server: dict[str, Any]) -> ServerEntry:
+    state = _get(server, "state", str)
+    if state not in STATES:
+        raise ProtocolFault(f"state is unknown: {state[:40]!r}")
+    try:
+        return ServerEntry(_get(server, "id", str), _get(server, "zone", str, ""),
+                           _get(server, "kind", str, ""), _get(server, "cell", int, 0), STATES[state],
+                           float(_get(server, "weight", (int, float), 1)),
+                           int(_get(server, "started_ms", (int, float), 0)) * 1_000)
+    except ValueError as error:
+        raise ProtocolFault(str(error)) from None
--- /dev/null
+++ b/lotuspick/routing/loop.py
@@ -0,0 +1,394 @@
+"""The session table and the one loop.
+
+Whatever happens anywhere lands in the inbox. Once a tick all that is ready goes to the module in one call, in
+the order in which it came, and then the actions that came back are carried out in order. Nothing here decides
+about a session; this is the bookkeeping that makes the module's answers true on the wire.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from lotuspick.interface import (
+    Action,
+    Ended,
+    Event,
+    Fail,
+    Log,
+    Note,
+    Refuse,
+    Send,
+    SessionPlaying,
+    SessionRequest,
+    SetRung,
+    SetTimer,
+    Started,
+    Subscribe,
+    TimerFired,
+    ViewerGone,
+)
+from lotuspick.routing.endings import OUTCOMES, Ending
+from lotuspick.routing.ports import (
+    Asked,
+    AttemptOver,
+    Dropped,
+    EdgeAnswered,
+    EdgeDown,
+    EdgeNoted,
+    EdgeReleased,
+    Edges,
+    Inbound,
+    Roster,
+    SetUp,
+    Viewer,
+    ViewerCame,
+    ViewerLost,
+)
+
+log = logging.getLogger(__name__)
+
+MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
+OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
+UNKNOWN_EDGE_US = 3_000_000  # a session handed over at a server that no list names within this is lost
+MS = 1_000
+
+
+class Decider(Protocol):
+    """What the loop needs of the module: see :class:`lotuspick.control.Controller`."""
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]: ...
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One session in the table: an open set-up or a session that stands."""
+
+    request: SessionRequest
+    description: bytes = b""
+    viewer: Viewer | None = None
+    edge: str = ""
+    attempt: int = -1
+    rung: int = 0
+    sent_us: int = 0
+    out: bool = False  # an attempt is out
+    stands: bool = False
+
+
+class Loop:
+    """Holds the sessions of one broker; all times are whole microseconds of one clock."""
+
+    def __init__(self, module: Decider, edges: Edges, clock: Callable[[], int],
+                 wake_at: Callable[[int], None], period_us: int, classes: frozenset[str]) -> None:
+        self.module, self.edges, self.clock, self.wake_at = module, edges, clock, wake_at
+        self.period_us, self.classes = period_us, classes
+        self.inbox: deque[Inbound] = deque()
+        self.table: dict[str, Entry] = {}
+        self.by_edge: dict[str, set[str]] = {}
+        self.viewers: dict[Viewer, None] = {}  # connections on which a release can go out, oldest first
+        self.owed: deque[tuple[int, str, Ending]] = deque()  # releases that found no viewer connection
+        self.due: list[tuple[int, int, Callable[[int], Event | None]]] = []
+        self.ticked_us, self.woken_us, self.timers = 0, 0, 0
+        self.open_set_ups = 0
+        self.turns: dict[type, Callable[[Any, int], list[Event]]] = {
+            Asked: self._asked, Dropped: self._dropped, ViewerLost: self._viewer_lost,
+            ViewerCame: self._viewer_came, EdgeAnswered: self._answered, EdgeReleased: self._edge_released,
+            EdgeNoted: self._noted, AttemptOver: self._attempt_over, EdgeDown: self._edge_down,
+            Roster: lambda item, now: [item.news],
+        }
+
+    # ---- inbox and tick -----------------------------------------------------------------------------------
+
+    def post(self, item: Inbound) -> None:
+        """Take an item in; it is looked at in the next tick."""
+        self.inbox.append(item)
+        self._wake(self.ticked_us + self.period_us)
+
+    def standing(self, edge: str) -> int:
+        """Sessions and attempts at an edge server."""
+        return len(self.by_edge.get(edge, ()))
+
+    @property
+    def owes(self) -> bool:
+        """Whether a viewer still waits for an answer or for word of an end."""
+        return bool(self.open_set_ups or self.inbox or self.owed)
+
+    def tick(self) -> None:
+        """Hand all that is ready to the module and carry out what it returns."""
+        now = self.ticked_us = self.clock()
+        self.woken_us = 0
+        events: list[Event] = []
+        ready, self.inbox = self.inbox, deque()
+        for item in ready:
+            events.extend(self.turns[type(item)](item, now))
+        while self.due and self.due[0][0] <= now:
+            event = heapq.heappop(self.due)[2](now)
+            if event is not None:
+                events.append(event)
+        while self.owed and self.owed[0][0] <= now:
+            log.warning("release never sent", extra={"session": self.owed.popleft()[1]})
+        if events:
+            self._run(now, events)
+        if self.inbox:
+            self._wake(now + self.period_us)
+        if self.due:
+            self._wake(max(self.due[0][0], now + self.period_us))
+
+    def _wake(self, at_us: int) -> None:
+        if not self.woken_us or at_us < self.woken_us:
+            self.woken_us = at_us
+            self.wake_at(at_us)
+
+    def _run(self, now: int, events: list[Event]) -> None:
+        try:
+            actions = self.module.handle(now, events)
+        except Exception:
+            # A fault of the module must not cost the sessions that it is not about: those that it was asked
+            # about are failed, since nobody will answer them, and the rest play on.
+            log.exception("module fault", extra={"events": len(events)})
+            actions = [Fail(event.session) for event in events
+                       if isinstance(event, SessionRequest) and not isinstance(event, SessionPlaying)]
+        for action in actions:
+            self._carry_out(action, now)
+
+    def _after(self, at_us: int, then: Callable[[int], Event | None]) -> None:
+        self.timers += 1
+        heapq.heappush(self.due, (at_us, self.timers, then))
+
+    # ---- from viewers -------------------------------------------------------------------------------------
+
+    def _asked(self, item: Asked, now: int) -> list[Event]:
+        request, session = item.request, item.request.session
+        held = self.table.get(session)
+        if isinstance(request, SessionPlaying):
+            return self._handed_over(request, held, item.viewer)
+        if held is not None and not held.stands and item.viewer is not None:
+            held.viewer = item.viewer  # sent again after a close that it crossed: one request, one answer
+            return []
+        if held is not None or request.cls not in self.classes:
+            self._say(item.viewer, lambda viewer: viewer.failed(
+                session, "id in use" if held is not None else f"unknown class {request.cls}"))
+            return []
+        if self.open_set_ups >= MOST_OPEN:
+            self._say(item.viewer, lambda viewer: viewer.refused(session, 1_000))
+            return []
+        self.table[session] = Entry(request, item.description, item.viewer)
+        self.open_set_ups += 1
+        self._after(request.deadline_us, lambda later: self._overdue(session, request))
+        return [request]
+
+    def _handed_over(self, request: SessionPlaying, held: Entry | None, viewer: Viewer | None) -> list[Event]:
+        if held is not None or request.cls not in self.classes:
+            return []
+        entry = Entry(request, viewer=viewer, edge=request.server, attempt=0, stands=True)
+        self._put(request.session, entry)
+        self.edges.watch(request.server)
+        return [request]
+
+    def _dropped(self, item: Dropped, now: int) -> list[Event]:
+        entry = self.table.get(item.session)
+        if entry is None:
+            return []
+        if not entry.stands:
+            return self._give_up(item.session, entry)
+        self.edges.release(entry.edge, item.session, Ending.REVOKED)
+        return [self._over(item.session, entry, Ending.REVOKED, now)]
+
+    def _viewer_lost(self, item: ViewerLost, now: int) -> list[Event]:
+        self.viewers.pop(item.viewer, None)
+        events: list[Event] = []
+        for session, entry in list(self.table.items()):
+            if entry.viewer is item.viewer:
+                if not entry.stands:
+                    events.extend(self._give_up(session, entry))
+                else:
+                    entry.viewer = None
+        return events
+
+    def _viewer_came(self, item: ViewerCame, now: int) -> list[Event]:
+        self.viewers[item.viewer] = None
+        owed, self.owed = self.owed, deque()
+        for _, session, ending in owed:
+            item.viewer.released(session, ending)
+        return []
+
+    def _give_up(self, session: str, entry: Entry) -> list[Event]:
+        """The viewer no longer waits: nothing is owed, and the attempt that is out is taken back."""
+        events: list[Event] = [ViewerGone(session)]
+        if entry.out:
+            events.append(self._take_back(session, entry, Ending.GIVEN_UP, final=True))
+        self._forget(session, entry)
+        return events
+
+    def _overdue(self, session: str, request: SessionRequest) -> Event | None:
+        """Guards against a request left without an answer: the module answers well before the deadline."""
+        entry = self.table.get(session)
+        if entry is None or entry.stands or entry.request is not request:
+            return None
+        log.error("deadline passed unanswered", extra={"session": session})
+        self._answer(session, entry, lambda viewer: viewer.failed(session))
+        return ViewerGone(session)
+
+    # ---- from edge servers --------------------------------------------------------------------------------
+
+    def _answered(self, item: EdgeAnswered, now: int) -> list[Event]:
+        entry = self.table.get(item.session)
+        if entry is None or entry.edge != item.edge or not entry.out:
+            # Given up while the answer was on its way: nothing may be left standing.
+            self.edges.release(item.edge, item.session, Ending.REVOKED)
+            return []
+        entry.out, entry.stands = False, True
+        self.open_set_ups -= 1
+        self._say(entry.viewer, lambda viewer: viewer.served(item.session, item.description))
+        entry.description = b""
+        return [Started(item.session, entry.attempt, item.edge, now - entry.sent_us)]
+
+    def _edge_released(self, item: EdgeReleased, now: int) -> list[Event]:
+        entry = self.table.get(item.session)
+        if entry is None or entry.edge != item.edge or not (entry.out or entry.stands):
+            # Its end is known already; the load that comes with it is news all the same.
+            return [Ended(item.session, -1, item.edge, "unsent", True, 0, item.report)] if item.report else []
+        if entry.stands:
+            return [self._over(item.session, entry, item.after, now, item.report)]
+        return [self._ended(item.session, entry, item.before, now, item.report)]
+
+    def _noted(self, item: EdgeNoted, now: int) -> list[Event]:
+        return [Note(item.session, item.edge, item.topic, item.value)]
+
+    def _attempt_over(self, item: AttemptOver, now: int) -> list[Event]:
+        entry = self.table.get(item.session)
+        if entry is None or entry.edge != item.edge or not entry.out:
+            return []
+        return [self._ended(item.session, entry, item.ending, now)]
+
+    def _edge_down(self, item: EdgeDown, now: int) -> list[Event]:
+        events: list[Event] = []
+        for session in sorted(self.by_edge.get(item.edge, ())):
+            entry = self.table[session]
+            if entry.stands:  # attempts on its connection have been reported one by one
+                events.append(self._over(session, entry, item.ending, now))
+        return events
+
+    # ---- endings ------------------------------------------------------------------------------------------
+
+    def _ended(self, session: str, entry: Entry, ending: Ending, now: int, report: Any = None) -> Event:
+        """An attempt that is out ends without an answer; the request stays open."""
+        log.debug("attempt over", extra={"session": session, "edge": entry.edge, "ending": ending.value})
+        event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], False, now - entry.sent_us,
+                      report or {})
+        entry.out = False
+        self._leave(session, entry)
+        return event
+
+    def _over(self, session: str, entry: Entry, ending: Ending, now: int, report: Any = None) -> Event:
+        """A session that stood is over; its viewer hears of it unless it ended it."""
+        event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], True, now - entry.sent_us,
+                      report or {})
+        self._forget(session, entry)
+        if ending is not Ending.REVOKED:
+            self._release(session, entry, ending, now)
+        return event
+
+    def _release(self, session: str, entry: Entry, ending: Ending, now: int) -> None:
+        viewer = entry.viewer if entry.viewer is not None and entry.viewer.open else None
+        if viewer is None:  # a session belongs to no connection: any that is open will do
+            viewer = next((each for each in reversed(self.viewers) if each.open), None)
+        if viewer is None:
+            self.owed.append((now + OWED_US, session, ending))
+        else:
+            viewer.released(session, ending)
+
+    def _take_back(self, session: str, entry: Entry, ending: Ending, final: bool) -> Event:
+        if self.edges.give_up(entry.edge, session):
+            ending = Ending.UNSENT  # it never left the queue
+        event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], final,
+                      self.clock() - entry.sent_us)
+        entry.out = False
+        self._leave(session, entry)
+        return event
+
+    def _put(self, session: str, entry: Entry) -> None:
+        self.table[session] = entry
+        self.by_edge.setdefault(entry.edge, set()).add(session)
+
+    def _leave(self, session: str, entry: Entry) -> None:
+        there = self.by_edge.get(entry.edge)
+        if there is not None:
+            there.discard(session)
+            if not there:
+                del self.by_edge[entry.edge]
+        entry.edge = ""
+
+    def _forget(self, session: str, entry: Entry) -> None:
+        if self.table.get(session) is entry:
+            del self.table[session]
+            if not entry.stands:
+                self.open_set_ups -= 1
+        self._leave(session, entry)
+
+    def _say(self, viewer: Viewer | None, what: Callable[[Viewer], None]) -> None:
+        if viewer is not None and viewer.open:
+            what(viewer)
+
+    def _answer(self, session: str, entry: Entry, what: Callable[[Viewer], None]) -> None:
+        """The request's one final answer; an attempt that is out is taken back."""
+        self._say(entry.viewer, what)
+        if entry.out:
+            attempt = self._take_back(session, entry, Ending.OVERRULED, final=True)
+            self._after(0, lambda now: attempt)
+        self._forget(session, entry)
+
+    # ---- the module's actions -----------------------------------------------------------------------------
+
+    def _carry_out(self, action: Action, now: int) -> None:
+        match action:
+            case SetTimer():
+                token = action.token
+                self._after(now + max(action.delay_us, 1), lambda later: TimerFired(token))
+            case Log():
+                log.info("module", extra={"text": action.text})
+            case Subscribe():
+                pass  # the coordinator is followed from the start
+            case SetRung() | Send() | Refuse() | Fail():
+                entry = self.table.get(action.session)
+                if entry is not None:
+                    self._on_session(action, entry, now)
+
+    def _on_session(self, action: SetRung | Send | Refuse | Fail, entry: Entry, now: int) -> None:
+        session = action.session
+        match action:
+            case SetRung():
+                entry.rung = action.rung
+                if entry.stands:
+                    self.edges.set_rung(entry.edge, session, action.rung)
+            case Send():
+                self._send(action, entry, now)
+            case Refuse() if not entry.stands:
+                gap_ms = action.retry_after_us // MS
+                self._answer(session, entry, lambda viewer: viewer.refused(session, gap_ms))
+            case Fail() if not entry.stands:
+                self._answer(session, entry, lambda viewer: viewer.failed(session))
+
+    def _send(self, action: Send, entry: Entry, now: int) -> None:
+        session, request = action.session, entry.request
+        entry.attempt += 1
+        entry.edge, entry.out, entry.sent_us = action.server, True, now
+        self._put(session, entry)
+        left_us = request.deadline_us - now
+        wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
+        attempt = entry.attempt
+        ending = self.edges.set_up(action.server, SetUp(
+            session, request.cls, request.title, entry.rung, max(1, wait_us // MS), entry.description))
+        if ending is not None:
+            self.post(AttemptOver(action.server, session, ending))
+        else:
+            self._after(now + max(0, wait_us), lambda later: self._expire(session, entry, attempt))
+
+    def _expire(self, session: str, entry: Entry, attempt: int) -> Event | None:
+        if not entry.out or entry.attempt != attempt:
+            return None
+        return self._take_back(session, entry, Ending.NO_ANSWER, final=False)
--- /dev/null
+++ b/lotuspick/routing/ports.py
@@ -0,0 +1,154 @@
+"""What the loop takes in from the fronts and the edge servers, and what it asks of them.
+
+Fronts, edges and the coordinator's feed put :data:`Inbound` items into the loop's inbox and do nothing else
+about sessions. The loop talks back through the two small interfaces below, which know no wire.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from lotuspick.interface import ServerList, SessionRequest
+from lotuspick.routing.endings import Ending
+
+
+class Viewer(Protocol):
+    """One viewer connection of any front, as the loop sees it. Calls after its end do nothing."""
+
+    @property
+    def open(self) -> bool:
+        """Whether anything can still be written to it."""
+
+    def served(self, session: str, description: bytes) -> None:
+        """The session plays; the description is the edge server's, byte for byte."""
+
+    def refused(self, session: str, gap_ms: int) -> None:
+        """To ask again is harmless, after ``gap_ms`` where above 0."""
+
+    def failed(self, session: str, why: str = "") -> None:
+        """No promise about the effect."""
+
+    def released(self, session: str, ending: Ending) -> None:
+        """A session that stood is over."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetUp:
+    """One attempt, as an edge server is asked for it."""
+
+    session: str
+    cls: str
+    title: str
+    rung: int
+    wait_ms: int
+    description: bytes
+
+
+class Edges(Protocol):
+    """The connections to all edge servers, known by id."""
+
+    def set_up(self, edge: str, ask: SetUp) -> Ending | None:
+        """Send or queue an attempt; an ending where that cannot be done."""
+
+    def give_up(self, edge: str, session: str) -> bool:
+        """Take an attempt back. True: it was still queued, so that it never left."""
+
+    def release(self, edge: str, session: str, ending: Ending) -> None:
+        """End a session that stands, or that may stand."""
+
+    def set_rung(self, edge: str, session: str, rung: int) -> None:
+        """Change the rung of a session that stands."""
+
+    def watch(self, edge: str) -> None:
+        """Sessions stand there: see to an open connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A viewer's set-up; ``request`` is a ``SessionPlaying`` where the session plays already."""
+
+    request: SessionRequest
+    description: bytes = b""
+    viewer: Viewer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """A viewer gives up a set-up, or ends a session that stands."""
+
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class ViewerLost:
+    """A viewer connection has ended: its open set-ups are given up, its sessions stand on."""
+
+    viewer: Viewer
+
+
+@dataclass(frozen=True, slots=True)
+class ViewerCame:
+    """A viewer connection has opened: releases that found none can go out."""
+
+    viewer: Viewer
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeAnswered:
+    """An edge server answers: the session stands."""
+
+    edge: str
+    session: str
+    description: bytes
+    report: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeReleased:
+    """An edge server ends an attempt or a session: ``before`` and ``after`` an answer this means so much."""
+
+    edge: str
+    session: str
+    before: Ending
+    after: Ending
+    report: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeNoted:
+    """A note on a session that stands; topics as in :class:`lotuspick.interface.Note`."""
+
+    edge: str
+    session: str
+    topic: str
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptOver:
+    """An attempt ended without a word from the edge server."""
+
+    edge: str
+    session: str
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeDown:
+    """The process or machine of an edge server is gone, and what stood there with it."""
+
+    edge: str
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """News of the server list."""
+
+    news: ServerList
+
+
+Inbound = (Asked | Dropped | ViewerLost | ViewerCame | EdgeAnswered | EdgeReleased | EdgeNoted | AttemptOver
+           | EdgeDown | Roster)
--- /dev/null
+++ b/lotuspick/settings.py
@@ -0,0 +1,159 @@
+"""The settings of a gateway, read from path=value pairs: the same for the simulator's driver and the daemon.
+
+Everything here is checked once; ``ValueError`` names the key at fault. The readers of single fields serve the
+simulator's wire too.
+"""
+
+from __future__ import annotations
+
+import math
+
+from lotuspick.interface import ClassSettings, Settings
+
+Fields = dict[str, str]
+
+EFFECTS = {"pure": "safe", "token": "keyed", "side_effect": "paid"}
+
+
+class WireError(Exception):
+    """A line that does not follow the wire."""
+
+
+def split(parts: list[str]) -> Fields:
+    fields: Fields = {}
+    for part in parts:
+        name, equals, value = part.partition("=")
+        if not equals or not name:
+            raise WireError(f"{part!r} is not name=value")
+        fields[name] = value
+    return fields
+
+
+def need(fields: Fields, name: str) -> str:
+    try:
+        return fields[name]
+    except KeyError:
+        raise WireError(f"{name} is missing") from None
+
+
+def whole(fields: Fields, name: str, default: int | None = None) -> int:
+    if default is not None and name not in fields:
+        return default
+    text = need(fields, name)
+    try:
+        return int(text)
+    except ValueError:
+        raise WireError(f"{name} is not a whole number: {text!r}") from None
+
+
+def decimal(fields: Fields, name: str, default: float | None = None) -> float:
+    if default is not None and name not in fields:
+        return default
+    text = need(fields, name)
+    try:
+        value = float(text)
+    except ValueError:
+        raise WireError(f"{name} is not a number: {text!r}") from None
+    if not math.isfinite(value):
+        raise WireError(f"{name} is not a finite number: {text!r}")
+    return value
+
+
+def loose(text: str | None) -> float | None:
+    """A reading that may be nonsense: None where it is no number at all."""
+    try:
+        return None if text is None else float(text)
+    except ValueError:
+        return None
+
+
+def listed(fields: Fields, name: str) -> list[str]:
+    text = fields.get(name, "")
+    return text.split(",") if text else []
+
+
+def flag(fields: Fields, name: str) -> bool:
+    return fields.get(name, "0") in ("1", "true")
+
+
+def read_settings(pairs: Fields) -> Settings:
+    """Build the settings from the path=value pairs of a start; ``ValueError`` names what is missing."""
+
+    def per_class(name: str, index: int, default: str) -> Fields:
+        values = listed(pairs, f"FamilyInfo.{name}")
+        return {f"FamilyInfo.{name}": values[index] if index < len(values) else default}
+
+    def numbers(name: str) -> list[float]:
+        return [decimal({name: text}, name) for text in listed(pairs, name)]
+
+    try:
+        classes = []
+        for index in range(whole(pairs, "Categories.count")):
+            at = f"Categories.{index}."
+            effect = need(pairs, at + "Repeat")
+            classes.append(ClassSettings(
+                name=need(pairs, at + "Name"),
+                aim_us=whole(pairs, at + "TargetUs"),
+                effect=EFFECTS.get(effect, effect),
+                worth=decimal(pairs, at + "Worth", 1.0),
+                scale=decimal(per_class("ClassScale", index, "1"), "FamilyInfo.ClassScale"),
+                floor=whole(per_class("ClassFloor", index, "0"), "FamilyInfo.ClassFloor"),
+                top=whole(per_class("HighestRung", index, "1000"), "FamilyInfo.HighestRung"),
+                seats=whole(per_class("Seats", index, "0"), "FamilyInfo.Seats"),
+                live=flag(per_class("Live", index, "false"), "FamilyInfo.Live"),
+                group=pairs.get(at + "KeyScope", "all"),
+                group_window_us=whole(pairs, at + "WindowUs", 0),
+            ))
+        kinds = listed(pairs, "MachineTypes")
+        places = numbers("FamilyInfo.PlacesByKind")
+        tenants = {
+            need(pairs, f"Projects.{index}.Name"): decimal(pairs, f"Projects.{index}.QuotaPerS", 0.0)
+            for index in range(whole(pairs, "Projects.count", 0))
+        }
+        columns = listed(pairs, "Reporting.Columns")
+        budget = "Invariants.FurtherRatio" in pairs or "Invariants.BudgetFree" in pairs
+        return Settings(
+            zone=need(pairs, "Az"),
+            gateways=whole(pairs, "GroupSize"),
+            classes=classes,
+            ladder_kb=numbers("FamilyInfo.LevelKb"),
+            rung_worth=numbers("FamilyInfo.WorthByRung"),
+            places_by_kind=dict(zip(kinds, places, strict=False)),
+            cells=whole(pairs, "FamilyInfo.Cells"),
+            racks=whole(pairs, "FamilyInfo.Racks", 1),
+            links_kb=decimal(pairs, "FamilyInfo.LinksKb", 0.0),
+            link_kb_per_weight=decimal(pairs, "FamilyInfo.WeightKb"),
+            weights=pairs.get("WeightKind", "off"),
+            uplink_kb=decimal(pairs, "FamilyInfo.RackKb", 0.0),
+            refuses_from=decimal(pairs, "FamilyInfo.RefusesFrom", 0.0),
+            join=decimal(pairs, "FamilyInfo.Join", 1.0),
+            seen_after_us=whole(pairs, "FamilyInfo.SeenAfterUs", 0),
+            tell_us=whole(pairs, "FamilyInfo.TellUs", 0),
+            change_cost_s=decimal(pairs, "FamilyInfo.ChangeCostsS", 0.0),
+            shortfall_cost=decimal(pairs, "FamilyInfo.ShortfallCost", 0.0),
+            max_attempts=whole(pairs, "Limits.AttemptsCap", 1),
+            dial_timeout_us=whole(pairs, "Limits.DialTimeoutUs", 0),
+            drain_grace_us=whole(pairs, "Invariants.DrainGraceUs", 0),
+            cold_from=decimal(pairs, "Invariants.ColdFrom", 1.0),
+            cold_us=whole(pairs, "Invariants.ColdUs", 0),
+            fall_multiple=decimal(pairs, "Invariants.OverloadFactor", 1.0),
+            fall_us=whole(pairs, "Invariants.TipAfterUs", 1_000_000),
+            budget_free=decimal(pairs, "Invariants.BudgetFree", 0.0) if budget else None,
+            budget_ratio=decimal(pairs, "Invariants.FurtherRatio", 0.0) if budget else None,
+            budget_window_us=whole(pairs, "Invariants.ResendSpanUs", 0),
+            may_probe=flag(pairs, "Limits.Probes"),
+            may_cancel=flag(pairs, "Limits.Cancel"),
+            retry_after=flag(pairs, "Limits.RetryAfter"),
+            max_retry_after_us=whole(pairs, "Limits.MaxRetryAfterUs", 0),
+            must_subscribe=pairs.get("Discovery") == "subscribe",
+            ask_within_us=whole(pairs, "Invariants.MustAskInUs", 0),
+            reports=pairs.get("Reporting.How") == "inline",
+            reports_rack=pairs.get("Reporting.How") == "inline" and "x1" in columns,
+            cross_zone_price=decimal(pairs, "Prices.CrossZone", 0.0),
+            move_price=decimal(pairs, "Prices.Moves", 0.0),
+            probe_price=decimal(pairs, "Prices.Probe", 0.0),
+            over_share_worth=decimal(pairs, "OverShareWorth", 1.0),
+            tenant_rates=tenants,
+        )
+    except WireError as error:
+        raise ValueError(f"settings: {error}") from None
--- /dev/null
+++ b/lotuspick/transport/base.py
@@ -0,0 +1,37 @@
+"""What the transports share: the reactor's face, the clock, and how a connection ended."""
+
+from __future__ import annotations
+
+import errno
+import time
+from typing import Any
+
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from lotuspick.routing.endings import Ending
+
+Reactor = Any  # Twisted's reactor has no one type: it provides IReactorTCP, IReactorTime and more
+
+
+def now_us() -> int:
+    """The system's Unix clock."""
+    return time.time_ns() // 1_000
+
+
+def lost(reason: Failure) -> Ending:
+    """How a connection ended that was up."""
+    if reason.check(error.ConnectionDone):
+        return Ending.CLOSED
+    return Ending.RESET
+
+
+def dial_failed(reason: Failure) -> Ending:
+    """How a connection ended that never came up."""
+    if reason.check(error.ConnectionRefusedError):
+        return Ending.DIAL_REFUSED
+    if reason.check(error.TimeoutError, error.TCPTimedOutError):
+        return Ending.DIAL_TIMEOUT
+    if isinstance(reason.value, OSError) and reason.value.errno == errno.ECONNREFUSED:
+        return Ending.DIAL_REFUSED
+    return Ending.DIAL_FAILED
--- /dev/null
+++ b/lotuspick/transport/coordinator.py
@@ -0,0 +1,87 @@
+"""The coordinator's feed: a long poll that is asked again at once, whatever happens to it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import protocol
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+
+from lotuspick.protocol import coordinator as wire
+from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
+from lotuspick.transport.base import Reactor
+
+log = logging.getLogger(__name__)
+
+WAIT_MS = 1_000  # how long an answer may take that has nothing to tell; short, so that silence shows soon
+GRACE_S = 0.75  # an answer later than the wait by this has been lost with its connection
+AGAIN_S = 0.1  # pause after a failure, so that a coordinator that refuses is not asked in a tight loop
+
+
+class _Body(protocol.Protocol):
+    """Gathers a body, up to the bound."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self.done: Deferred[bytes] = Deferred(lambda _: self.transport.abortConnection())
+        self.parts = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        self.parts += data
+        if len(self.parts) > 4 * MOST_BYTES:
+            self._finish(Failure(ProtocolFault("answer is too long")))
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self._finish(self.parts if reason.check(ResponseDone) else reason)
+
+    def _finish(self, result: bytes | Failure) -> None:
+        if not self.done.called:
+            self.done.callback(result)
+
+
+class Feed:
+    """Follows the coordinator from an index on."""
+
+    def __init__(self, reactor: Reactor, address: str, index: int,
+                 tell: Callable[[wire.Change], None]) -> None:
+        self.reactor, self.address, self.index, self.tell = reactor, address, index, tell
+        self.agent = Agent(reactor, connectTimeout=GRACE_S, pool=HTTPConnectionPool(reactor))
+        self.failing = False
+
+    def poll(self) -> None:
+        """Ask for what is later than the last index; never stops."""
+        url = f"http://{self.address}/v2/stream?follow={self.index}&wait_ms={WAIT_MS}"
+        asked: Deferred[Any] = self.agent.request(b"GET", url.encode())
+        asked.addCallback(self._answer)
+        asked.addTimeout(WAIT_MS / 1_000 + GRACE_S, self.reactor)
+        asked.addCallbacks(self._read, self._failed)
+        asked.addErrback(self._failed)
+
+    def _answer(self, response: Any) -> Deferred[bytes]:
+        if response.code != 200:
+            raise ProtocolFault(f"status {response.code}")
+        body = _Body()
+        response.deliverBody(body)
+        return body.done
+
+    def _read(self, body: bytes) -> None:
+        last, changes = wire.parse(body, self.index)
+        for change in changes:
+            self.tell(change)
+        self.index = max(self.index, last)
+        if self.failing:
+            log.info("coordinator answers again", extra={"index": self.index})
+            self.failing = False
+        self.reactor.callLater(0, self.poll)
+
+    def _failed(self, reason: Failure) -> None:
+        if not self.failing:
+            log.warning("coordinator does not answer", extra={"fault": reason.getErrorMessage()[:200]})
+            self.failing = True
+        self.reactor.callLater(AGAIN_S, self.poll)
--- /dev/null
+++ b/lotuspick/transport/edges.py
@@ -0,0 +1,331 @@
+"""Connections to edge servers: one each, pipelined, known by the server's id."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet import interfaces, protocol
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.protocols.basic import Int16StringReceiver
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from lotuspick.interface import ServerList
+from lotuspick.protocol import edge as wire
+from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.ports import AttemptOver, EdgeDown, EdgeReleased, Inbound, SetUp
+from lotuspick.transport.base import Reactor, dial_failed, lost
+
+log = logging.getLogger(__name__)
+
+MOST_QUEUED = 256  # messages that wait for one connection
+SWEEP_S = 0.25
+DIALS = 2  # dials that time out before a machine where sessions stand is taken for gone
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeLimits:
+    """From the settings, in seconds."""
+
+    dial_s: float
+    idle_s: float
+    silence_s: float
+    """A connection with sessions that is silent for so long is checked by a new one."""
+    per_connection: int
+    connections: int
+
+
+@implementer(interfaces.IPushProducer)
+class EdgeConnection(Int16StringReceiver):
+    """One connection to an edge server."""
+
+    transport: Any
+    MAX_LENGTH = MOST_BYTES - 2
+
+    def __init__(self, link: EdgeLink) -> None:
+        self.link = link
+        self.up = False
+        self.unread_since: float | None = None
+        self.ending: Ending | None = None  # why this side closed it
+
+    def connectionMade(self) -> None:
+        self.up = True
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self.up = False
+        self.link.closed(self, self.ending or lost(reason))
+
+    def pauseProducing(self) -> None:
+        self.unread_since = self.link.pool.reactor.seconds()
+
+    def resumeProducing(self) -> None:
+        self.unread_since = None
+
+    def stopProducing(self) -> None:
+        pass
+
+    def stringReceived(self, string: bytes) -> None:
+        try:
+            self.link.received(self, wire.decode(string))
+        except ProtocolFault as fault:
+            self.drop(Ending.MALFORMED, str(fault))
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        self.drop(Ending.MALFORMED, f"message of {length} bytes")
+
+    def drop(self, ending: Ending, why: str = "") -> None:
+        """Close at once."""
+        if self.up:
+            log.info("edge connection dropped",
+                     extra={"edge": self.link.edge, "ending": ending.value, "why": why})
+            self.ending = self.ending or ending
+            self.up = False
+            self.transport.abortConnection()
+
+
+@dataclass(slots=True, eq=False)
+class Queued:
+    """A message that waits for a connection; ``session`` is set for a set-up."""
+
+    frame: bytes
+    session: str = ""
+
+
+class EdgeLink:
+    """What leads to one edge server: its connection, and what waits for one."""
+
+    def __init__(self, pool: EdgePool, edge: str) -> None:
+        self.pool, self.edge = pool, edge
+        self.address: tuple[str, int] | None = None
+        self.connection: EdgeConnection | None = None
+        self.dialing = False
+        self.dials = 0  # dials that timed out in a row
+        self.queue: deque[Queued] = deque()
+        self.open: dict[str, EdgeConnection] = {}  # set-ups sent and not answered
+        self.heard_s = self.used_s = pool.reactor.seconds()
+
+    @property
+    def idle(self) -> bool:
+        return not (self.open or self.queue or self.pool.standing(self.edge))
+
+    # ---- sending ------------------------------------------------------------------------------------------
+
+    def send(self, item: Queued) -> Ending | None:
+        """Write or queue; an ending where neither can be done."""
+        connection = self.connection
+        if connection is not None and connection.up:
+            if item.session and len(self.open) >= self.pool.limits.per_connection:
+                return Ending.QUEUE_FULL
+            self._write(connection, item)
+            return None
+        if self.address is None:
+            return Ending.NO_ADDRESS
+        if len(self.queue) >= MOST_QUEUED:
+            return Ending.QUEUE_FULL
+        self.queue.append(item)
+        self.dial()
+        return None
+
+    def _write(self, connection: EdgeConnection, item: Queued) -> None:
+        if item.session:
+            self.open[item.session] = connection
+        self.used_s = self.pool.reactor.seconds()
+        connection.sendString(item.frame)
+
+    def unqueue(self, session: str) -> bool:
+        for item in self.queue:
+            if item.session == session:
+                self.queue.remove(item)
+                return True
+        return False
+
+    # ---- connecting ---------------------------------------------------------------------------------------
+
+    def dial(self) -> None:
+        if self.dialing or self.address is None:
+            return
+        if not self.pool.room():
+            self._not_up(Ending.DIAL_FAILED)
+            return
+        self.dialing = True
+        address = self.address
+        endpoint = TCP4ClientEndpoint(self.pool.reactor, *address, timeout=self.pool.limits.dial_s)
+        factory: Any = protocol.Factory.forProtocol(lambda: EdgeConnection(self))
+        factory.noisy = False
+        done = endpoint.connect(factory)
+        done.addCallbacks(self._up, lambda reason: self._not_up(dial_failed(reason)), callbackArgs=(address,))
+        done.addErrback(lambda reason: log.error("dial", extra={"edge": self.edge, "fault": str(reason)}))
+
+    def _up(self, connection: EdgeConnection, address: tuple[str, int]) -> None:
+        self.dialing, self.dials = False, 0
+        if address != self.address:  # the id moved, or its address went to another, while this was dialled
+            connection.drop(Ending.NO_ADDRESS)
+            if self.address is not None:
+                self.dial()
+            else:
+                self._fail_queue(Ending.NO_ADDRESS)
+            return
+        old, self.connection = self.connection, connection
+        self.heard_s = self.used_s = self.pool.reactor.seconds()
+        if old is not None and old.up:
+            old.drop(Ending.SILENT)
+        while self.queue:
+            self._write(connection, self.queue.popleft())
+
+    def _not_up(self, ending: Ending) -> None:
+        self.dialing = False
+        log.info("edge not reached", extra={"edge": self.edge, "ending": ending.value})
+        self._fail_queue(ending)
+        self.dials += 1
+        if not self.pool.standing(self.edge):
+            return
+        if ending is Ending.DIAL_REFUSED or self.dials >= DIALS:
+            # Guards against sessions left standing: nothing will ever tell the end of what a machine held
+            # that vanished, and a process that refuses has cut what it held.
+            self.down(Ending.RESET if ending is Ending.DIAL_REFUSED else Ending.SILENT)
+        else:
+            self.dial()
+
+    def _fail_queue(self, ending: Ending) -> None:
+        waiting, self.queue = self.queue, deque()
+        for item in waiting:
+            if item.session:
+                self.pool.post(AttemptOver(self.edge, item.session, ending))
+
+    def down(self, ending: Ending) -> None:
+        if self.connection is not None:
+            self.connection.drop(ending)
+        self.pool.post(EdgeDown(self.edge, ending))
+
+    def closed(self, connection: EdgeConnection, ending: Ending) -> None:
+        """The connection is over. Set-ups open on it are given up; sessions stand on, unless it was reset."""
+        log.info("edge connection over", extra={"edge": self.edge, "ending": ending.value})
+        for session in [each for each, on in self.open.items() if on is connection]:
+            del self.open[session]
+            self.pool.post(AttemptOver(self.edge, session, ending))
+        if connection is not self.connection:
+            return
+        self.connection = None
+        if ending is Ending.RESET:
+            self.pool.post(EdgeDown(self.edge, ending))
+        elif self.pool.standing(self.edge) and ending is not Ending.SILENT:
+            self.dial()  # what ends there is told on the next connection
+
+    # ---- receiving ----------------------------------------------------------------------------------------
+
+    def received(self, connection: EdgeConnection, message: wire.Message) -> None:
+        self.heard_s = self.pool.reactor.seconds()
+        item = wire.read(self.edge, message)
+        if item is None:
+            return
+        if message.kind in (wire.ANSWER, wire.RELEASE):
+            self.open.pop(message.session, None)
+        if isinstance(item, EdgeReleased):
+            connection.sendString(wire.heard(message.session))
+        self.pool.post(item)
+
+    def sweep(self, now_s: float) -> None:
+        """Look after a connection that is silent, stuck or idle."""
+        connection, limits = self.connection, self.pool.limits
+        standing = self.pool.standing(self.edge)
+        if connection is None or not connection.up:
+            if standing and not self.dialing:
+                if self.address is None:
+                    self.down(Ending.SILENT)
+                else:
+                    self.dial()
+            return
+        if connection.unread_since is not None and now_s - connection.unread_since > limits.silence_s:
+            connection.drop(Ending.SILENT, "does not read")
+        elif (standing or self.open) and now_s - self.heard_s > limits.silence_s:
+            if self.address is None:
+                self.down(Ending.SILENT)
+            else:
+                self.dial()  # a machine that vanished takes no new connection
+        elif self.idle and now_s - max(self.used_s, self.heard_s) > limits.idle_s:
+            connection.ending, connection.up = Ending.IDLE, False
+            self.connection = None
+            connection.transport.loseConnection()
+
+
+class EdgePool:
+    """All edge servers; the loop's :class:`lotuspick.routing.ports.Edges`."""
+
+    def __init__(self, reactor: Reactor, limits: EdgeLimits, post: Callable[[Inbound], None],
+                 standing: Callable[[str], int]) -> None:
+        self.reactor, self.limits, self.post, self.standing = reactor, limits, post, standing
+        self.links: dict[str, EdgeLink] = {}
+
+    def start(self) -> None:
+        self.reactor.callLater(SWEEP_S, self._sweep)
+
+    def room(self) -> bool:
+        """Whether one more connection keeps inside the bound on descriptors."""
+        used = sum((link.connection is not None) + link.dialing for link in self.links.values())
+        return used < self.limits.connections
+
+    def named(self, news: ServerList, addresses: dict[str, tuple[str, int]]) -> None:
+        """Take the addresses of one change. An address may be that of a server that has gone: whoever had
+        it before can no longer be dialled there."""
+        for entry in news.servers:
+            link = self._link(entry.server)
+            if entry.state == "gone":
+                link.address = None
+                continue
+            address = addresses[entry.server]
+            for other in self.links.values():
+                if other is not link and other.address == address:
+                    other.address = None
+            if link.address not in (None, address) and link.connection is not None:
+                link.connection.drop(Ending.NO_ADDRESS)
+            link.address = address
+        if news.complete:
+            names = {entry.server for entry in news.servers}
+            for name, link in self.links.items():
+                if name not in names:
+                    link.address = None
+
+    def _link(self, edge: str) -> EdgeLink:
+        if edge not in self.links:
+            self.links[edge] = EdgeLink(self, edge)
+        return self.links[edge]
+
+    def _sweep(self) -> None:
+        self.reactor.callLater(SWEEP_S, self._sweep)
+        now_s = self.reactor.seconds()
+        for name, link in list(self.links.items()):
+            link.sweep(now_s)
+            if link.address is None and link.connection is None and link.idle and not link.dialing:
+                del self.links[name]
+
+    # ---- the loop's side ----------------------------------------------------------------------------------
+
+    def set_up(self, edge: str, ask: SetUp) -> Ending | None:
+        return self._link(edge).send(Queued(wire.set_up(ask), ask.session))
+
+    def give_up(self, edge: str, session: str) -> bool:
+        link = self._link(edge)
+        if link.unqueue(session):
+            return True
+        connection = link.open.pop(session, None)
+        if connection is not None and connection.up:
+            connection.sendString(wire.release(session, Ending.GIVEN_UP))
+        return False
+
+    def release(self, edge: str, session: str, ending: Ending) -> None:
+        self._link(edge).send(Queued(wire.release(session, ending)))
+
+    def set_rung(self, edge: str, session: str, rung: int) -> None:
+        self._link(edge).send(Queued(wire.new_rung(session, rung)))
+
+    def watch(self, edge: str) -> None:
+        link = self._link(edge)
+        if link.connection is None:
+            link.dial()
--- /dev/null
+++ b/lotuspick/transport/viewers.py
@@ -0,0 +1,191 @@
+"""Viewers' connections: RTSP on a line protocol, with raw mode for bodies."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import interfaces, protocol
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from lotuspick.protocol import rtsp
+from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.ports import Dropped, Inbound, ViewerCame, ViewerLost
+from lotuspick.transport.base import Reactor, lost, now_us
+
+log = logging.getLogger(__name__)
+
+PART_WAY_S = 10.0  # a message begun and not finished within this costs its sender the connection
+UNREAD_S = 5.0  # so does not reading what was written for so long
+
+
+@implementer(interfaces.IPushProducer)
+class RtspViewer(LineReceiver):
+    """One connection. The loop sees it as a :class:`lotuspick.routing.ports.Viewer`."""
+
+    transport: Any
+    delimiter = b"\r\n"
+    MAX_LENGTH = MOST_BYTES
+
+    def __init__(self, front: RtspFront) -> None:
+        self.front = front
+        self.open = False
+        self._decoder = rtsp.Decoder()
+        self._want = 0
+        self._body = b""
+        self._part_way: Any = None
+        self._unread: Any = None
+
+    # ---- connection ---------------------------------------------------------------------------------------
+
+    def connectionMade(self) -> None:
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.front.opened(self)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self.open = False
+        self._part_way = self._stop(self._part_way)
+        self._unread = self._stop(self._unread)
+        self.front.closed(self, lost(reason))
+
+    def pauseProducing(self) -> None:
+        """The peer does not read: what waits for it must not pile up."""
+        if self._unread is None:
+            self._unread = self.front.reactor.callLater(UNREAD_S, self.drop, Ending.SILENT)
+
+    def resumeProducing(self) -> None:
+        self._unread = self._stop(self._unread)
+
+    def stopProducing(self) -> None:
+        pass
+
+    def drop(self, ending: Ending) -> None:
+        """Close at once."""
+        log.info("viewer dropped", extra={"ending": ending.value})
+        self.open = False
+        self.transport.abortConnection()
+
+    def _stop(self, call: Any) -> Any:
+        if call is not None and call.active():
+            call.cancel()
+        return None
+
+    # ---- reading ------------------------------------------------------------------------------------------
+
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        waiting = self._decoder.part_way or bool(self.line_mode and self._buffer)
+        if waiting and self._part_way is None:
+            self._part_way = self.front.reactor.callLater(PART_WAY_S, self.drop, Ending.SILENT)
+        elif not waiting:
+            self._part_way = self._stop(self._part_way)
+
+    def lineReceived(self, line: bytes) -> None:
+        try:
+            length = self._decoder.line(line)
+            if length == 0:
+                self._message(self._decoder.body(b""))
+            elif length is not None:
+                self._want, self._body = length, b""
+                self.setRawMode()
+        except ProtocolFault as fault:
+            self._malformed(str(fault))
+
+    def rawDataReceived(self, data: bytes) -> None:
+        take, rest = data[:self._want - len(self._body)], data[self._want - len(self._body):]
+        self._body += take
+        if len(self._body) == self._want:
+            body, self._body = self._body, b""
+            self._message(self._decoder.body(body))
+            if self.open:
+                self.setLineMode(rest)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self._malformed(f"line over {MOST_BYTES} bytes")
+
+    def _malformed(self, fault: str) -> None:
+        """The framing cannot be trusted any more: say so and close."""
+        log.info("malformed input from a viewer", extra={"fault": fault})
+        if self.open:
+            self._write(rtsp.response(rtsp.BAD_REQUEST, "0", why=fault))
+            self.open = False
+            self.transport.loseConnection()
+            self.clearLineBuffer()
+
+    def _message(self, message: rtsp.Message) -> None:
+        if not message.method:
+            return  # a release heard; it means nothing
+        cseq = message.headers.get("cseq", rtsp.CSEQ.get(message.method, "0"))
+        try:
+            match message.method:
+                case "SETUP":
+                    self.front.post(rtsp.read_set_up(message, now_us(), self))
+                case "TEARDOWN":
+                    self.front.post(Dropped(message.session))
+                    self._write(rtsp.response(rtsp.SERVED, cseq, message.session))
+                case "OPTIONS":
+                    status = rtsp.SERVED if self.front.ready() else rtsp.NOT_READY
+                    self._write(rtsp.response(status, cseq, message.headers.get("session", "")))
+                case _:
+                    pass  # notes, moves and rungs want no answer, and viewers have none to give
+        except ProtocolFault as fault:
+            log.info("malformed message from a viewer", extra={"method": message.method, "fault": str(fault)})
+            try:
+                session = message.session
+            except ProtocolFault:
+                session = ""
+            self._write(rtsp.response(rtsp.BAD_REQUEST, cseq, session, why=str(fault)))
+
+    # ---- writing ------------------------------------------------------------------------------------------
+
+    def _write(self, data: bytes) -> None:
+        if self.open:
+            self.transport.write(data)
+
+    def served(self, session: str, description: bytes) -> None:
+        self._write(rtsp.response(rtsp.SERVED, rtsp.CSEQ["SETUP"], session, description))
+
+    def refused(self, session: str, gap_ms: int) -> None:
+        self._write(rtsp.response(rtsp.NO_BANDWIDTH, rtsp.CSEQ["SETUP"], session, gap_ms=gap_ms))
+
+    def failed(self, session: str, why: str = "") -> None:
+        self._write(rtsp.response(rtsp.FAILED, rtsp.CSEQ["SETUP"], session, why=why))
+
+    def released(self, session: str, ending: Ending) -> None:
+        self._write(rtsp.release(session, ending))
+
+
+class RtspFront(protocol.Factory):
+    """All viewer connections, bounded in number."""
+
+    noisy = False
+
+    def __init__(self, reactor: Reactor, post: Callable[[Inbound], None], ready: Callable[[], bool],
+                 most: int, in_use: Callable[[RtspViewer], bool]) -> None:
+        self.reactor, self.post, self.ready, self.most, self.in_use = reactor, post, ready, most, in_use
+        self.viewers: dict[RtspViewer, None] = {}
+
+    def buildProtocol(self, addr: object) -> RtspViewer:
+        return RtspViewer(self)
+
+    def opened(self, viewer: RtspViewer) -> None:
+        if len(self.viewers) >= self.most:
+            # One without an open set-up may be closed; where there is none, the newcomer has to go.
+            idle = next((each for each in self.viewers if each.open and not self.in_use(each)), viewer)
+            idle.drop(Ending.CROWDED)
+            if idle is viewer:
+                return
+        self.viewers[viewer] = None
+        self.post(ViewerCame(viewer))
+
+    def closed(self, viewer: RtspViewer, ending: Ending) -> None:
+        if viewer in self.viewers:
+            del self.viewers[viewer]
+            log.debug("viewer closed", extra={"ending": ending.value})
+            self.post(ViewerLost(viewer))
