Add the second front: CMCD and CMSD hints over HTTP, weighed in the core

Players speak HTTP with CMCD, media nodes answer with CMSD; both go through the same inbox, decisions and rules as RTSP. A hint expires, moves a link's load by 5 points at most, and loses trust where readings contradict it. Without hints nothing in a decision changes. Scenarios start the real program and speak to both fronts over sockets.

--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -16,8 +16,9 @@
 from typing import Any, TypeGuard
 
 from lotuspick.interface import (Action, ClassSettings, Ended, Event, Fail, Log, Note, Refuse, Send,
-                                ServerEntry, ServerList, SessionPlaying, SessionRequest, SetRung, SetTimer,
-                                Settings, Started, Subscribe, TimerFired, ViewerGone)
+                                PlayerHint, ServerEntry, ServerHint, ServerList, SessionPlaying,
+                                SessionRequest, SetRung, SetTimer, Settings, Started, Subscribe,
+                                TimerFired, ViewerGone)
 
 # Every tuned constant, with its unit and reason.
 CUTS_US = (80_000_000, 160_000_000)  # us: cuts between the length pools (design)
@@ -56,6 +57,12 @@
 NEWS_US = 5_000_000  # us: a gateway that starts hears so soon of servers that started shortly before
 PACE_PART = 0.6  # share of the slow-start budget that is used: leaves slack for chance
 CROSS_BIAS = 0.5  # load that a crossing counts as, for each unit of its price: crossing costs little
+HINT_MOST = 0.05  # share of a link by which hints move its load at most: a few points, less than SPREAD
+HINT_US = 4_000_000  # us: a hint stands so long: about the time between load notes
+HINT_SLACK = 0.10  # share of a link by which a server's estimate may be off and still agree with a reading
+HINT_SOURCES = 4_096  # sources whose trust is kept; the one longest unheard goes first
+TRUST_START, TRUST_RISE, TRUST_FALL = 0.5, 0.1, 0.5  # of 1; added where a reading agrees, kept where not
+FULL_BUFFER_S = 2.0  # s: a player with so much buffered, and not starved, is not short
 SPREAD = 0.15  # share of a link: random part in the choice among holders, so gateways do not move as one
 
 NEVER = 1 << 62
@@ -114,6 +121,15 @@
         return sum(server.line.load(average, now) * server.line.kb for server in self.members)
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What a hint says of a link: that its load lies from ``low`` to ``high``."""
+
+    low: float
+    high: float
+    at_us: int
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """What this gateway knows of one server."""
@@ -134,6 +150,7 @@
     cut_after: int = 0
     settled_us: int = 0  # when its sessions were last looked at for a raise
     listed: bool = True
+    claims: dict[str, Claim] = field(default_factory=dict)  # by source
 
 
 @dataclass(slots=True, eq=False)
@@ -181,6 +198,7 @@
         self.hint_count = [0] * POOLS
         self.hint_us = [0.0] * POOLS
         self.taken, self.extra = deque[int](), deque[int]()  # requests and further attempts, for the budget
+        self.trust: dict[str, float] = {}  # of each source of hints that was judged
         self.timers: dict[int, str] = {}
         self.next_timer = 1
         self.polling = False
@@ -461,6 +479,8 @@
         line, rack, at = server.line, server.rack, self.now - self.settings.seen_after_us
         fresh = at - line.seen_us <= STALE_NOTES * self.settings.tell_us
         asked = rack.put_together(self._average([each.line for each in self.servers.values()]), self.now)
+        self._judge_hints(server, 1 / max(share, STALLED) if share < SHORT_FROM else
+                          min(1.0, line.load(0.0, self.now)), at)
         if share >= SHORT_FROM:
             if line.load(0.0, self.now) > 1:
                 line.see(1.0, at)
@@ -481,6 +501,8 @@
             return
         if topic in ("link", "rack"):
             (server.line if topic == "link" else server.rack).see(value, at_us)
+            if topic == "link":
+                self._judge_hints(server, value, at_us)
         elif topic == "streams":
             server.other_streams = max(0.0, value - len(server.own))
 
@@ -505,6 +527,56 @@
             session.ended = True
             self.out.append(Fail(session.ask.session))
 
+    # ---- hints --------------------------------------------------------------------------------------------
+    # Departure: players and servers may say what they see before notes do. Nobody vouches for them, so a hint
+    # moves a link's load by a few points at most, for a few seconds, by the trust that its source has earned.
+    # Harm: until a reading contradicts it, a false one draws sessions to a full link, or off an empty one.
+
+    def _on_player_hint(self, hint: PlayerHint) -> None:
+        session = self.sessions.get(hint.session)
+        if session is None or session.state != "playing" or session.server is None:
+            return
+        got_kb = hint.throughput_kb
+        if hint.starved or got_kb is not None and got_kb < session.kb * SHORT_FROM:
+            low, high = 1 / SHORT_FROM, math.inf
+        elif got_kb is not None or (hint.buffer_s or 0.0) >= FULL_BUFFER_S:
+            low, high = 0.0, 1 / SHORT_FROM  # its rate is delivered; how much more would be, it cannot know
+        else:
+            return
+        session.server.claims["p " + (session.ask.viewer or hint.session)] = Claim(low, high, self.now)
+
+    def _on_server_hint(self, hint: ServerHint) -> None:
+        server = self.servers.get(hint.server)
+        if server is not None:
+            load = max(0.0, 1 - hint.throughput_kb / server.line.kb)
+            high = load + HINT_SLACK if load < 1 - HINT_SLACK else math.inf  # nothing left: any overload
+            server.claims["s " + hint.server] = Claim(load - HINT_SLACK, high, self.now)
+
+    def _hinted(self, server: Server, load: float) -> float:
+        """How far hints move the load of a link: the mean over their sources."""
+        moves = []
+        for source, claim in list(server.claims.items()):
+            if self.now - claim.at_us > HINT_US:
+                del server.claims[source]
+            else:
+                move = min(max(load, claim.low), claim.high) - load
+                moves.append(max(-HINT_MOST, min(HINT_MOST, move)) * self.trust.get(source, TRUST_START))
+        return sum(moves) / len(moves) if moves else 0.0
+
+    def _judge_hints(self, server: Server, load: float, at_us: int) -> None:
+        """A reading wins over hints on the same time: it raises or lowers the trust in whoever gave them, and
+        those that it contradicts are dropped."""
+        for source, claim in list(server.claims.items()):
+            if self.now - claim.at_us > HINT_US:
+                del server.claims[source]
+            elif abs(claim.at_us - at_us) <= HINT_US:
+                agrees, trust = claim.low <= load <= claim.high, self.trust.pop(source, TRUST_START)
+                self.trust[source] = min(1.0, trust + TRUST_RISE) if agrees else trust * TRUST_FALL
+                if not agrees:
+                    del server.claims[source]
+                if len(self.trust) > HINT_SOURCES:
+                    del self.trust[next(iter(self.trust))]
+
     # ---- pools --------------------------------------------------------------------------------------------
 
     def _pool_of(self, length_us: float | None) -> int:
@@ -551,6 +623,7 @@
         """The highest rung that fits on the server, with its draws on the pools and the load it makes."""
         line, rack = server.line, server.rack
         load, rack_load = (each.load(average, self.now) for each, average in zip((line, rack), averages))
+        load += self._hinted(server, load)
         others = max(0.0, load - line.own_kb / line.kb) / POOLS
         free = [max(0.0, size - own / line.kb - others) for size, own in zip(sizes, server.pools)]
         room = sum(free[:session.pool + 1])
@@ -723,5 +796,6 @@
 HANDLERS: dict[type, Callable[[Controller, Any], None]] = {
     ServerList: Controller._on_list, SessionRequest: Controller._on_request,
     SessionPlaying: Controller._on_playing, Started: Controller._on_started, Ended: Controller._on_ended,
+    PlayerHint: Controller._on_player_hint, ServerHint: Controller._on_server_hint,
     Note: Controller._on_note, ViewerGone: Controller._on_gone, TimerFired: Controller._on_timer,
 }
--- a/lotuspick/interface.py
+++ b/lotuspick/interface.py
@@ -268,6 +268,34 @@
     value: float
 
 
+@dataclass(frozen=True, slots=True)
+class PlayerHint:
+    """What the player of a session says of itself; None: it does not say."""
+
+    session: str
+    buffer_s: float | None = None
+    """Seconds that it has buffered."""
+    starved: bool = False
+    """It has stalled for want of data since its last hint."""
+    throughput_kb: float | None = None
+    """What it measured, kB a second."""
+
+    def __post_init__(self) -> None:
+        _from_zero(f"hint on {self.session}", buffer_s=self.buffer_s or 0.0,
+                   throughput_kb=self.throughput_kb or 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerHint:
+    """What a server estimates that a further session would get from its link, kB a second."""
+
+    server: str
+    throughput_kb: float
+
+    def __post_init__(self) -> None:
+        _from_zero(f"hint of {self.server}", throughput_kb=self.throughput_kb)
+
+
 @dataclass(frozen=True, slots=True)
 class ViewerGone:
     """The viewer left before an answer; nothing more is owed."""
@@ -282,7 +310,8 @@
     token: int
 
 
-Event = ServerList | SessionRequest | Started | Ended | Note | ViewerGone | TimerFired
+Event = (ServerList | SessionRequest | Started | Ended | Note | PlayerHint | ServerHint | ViewerGone
+         | TimerFired)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -9,7 +9,7 @@
 import json
 import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -39,6 +39,8 @@
     enabled: bool = False
     host: str = "127.0.0.1"
     port: int = 0
+    nodes: Mapping[str, str] = field(default_factory=dict)
+    """Addresses of the media nodes that speak HTTP, by id; all others speak the platform's protocol."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,17 +135,23 @@
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"{path}: not TOML: {error}") from None
-    unknown = sorted(set(told) - {"enabled", "listen"})
+    unknown = sorted(set(told) - {"enabled", "listen", "nodes"})
     if unknown:
         raise ConfigError(f"{path}: {unknown[0]} is not a key of this file")
     try:
         enabled = _get(told, "enabled", bool, False)
         host, port = _address(told, "listen") if "listen" in told else ("127.0.0.1", 0)
+        nodes = _get(told, "nodes", dict, {})
+        for name in nodes:
+            try:
+                _address(nodes, name)
+            except ConfigError as error:
+                raise ConfigError(f"nodes: {error}") from None
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
     if enabled and not host.startswith("127.") and host != "localhost":
         raise ConfigError(f"{path}: listen must be a loopback address, not {host}")
-    return HintsConfig(enabled, host, port)
+    return HintsConfig(enabled, host, port, nodes)
 
 
 def flatten(value: Any, at: str = "") -> Iterator[tuple[str, str]]:
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from lotuspick.control import Controller
+from lotuspick.interface import ServerList
 from lotuspick.program.config import Config
 from lotuspick.protocol.coordinator import Change
 from lotuspick.routing.loop import Loop
@@ -16,6 +17,8 @@
 from lotuspick.transport.base import Reactor, now_us
 from lotuspick.transport.coordinator import Feed
 from lotuspick.transport.edges import EdgeLimits, EdgePool
+from lotuspick.transport.hints import HintsFront
+from lotuspick.transport.nodes import NodePool, Switch
 from lotuspick.transport.viewers import RtspFront, RtspViewer
 
 log = logging.getLogger(__name__)
@@ -36,10 +39,15 @@
             dial_s=config.dial_us / SECOND, idle_s=config.idle_us / SECOND,
             silence_s=config.silence_us / SECOND, per_connection=config.streams_per_connection,
             connections=config.sockets // 3)
-        self.edges = EdgePool(reactor, limits, self._post, lambda edge: self.loop.standing(edge))
-        self.loop = Loop(self.module, self.edges, now_us, self._wake, config.period_us,
-                         frozenset(each.name for each in config.settings.classes))
-        self.front = RtspFront(reactor, self._post, self._ready, config.sockets // 3, self._in_use)
+        nodes = dict(config.hints.nodes) if config.hints.enabled else {}
+        self.edges = EdgePool(reactor, limits, self._post, self._standing)
+        self.nodes = NodePool(reactor, nodes, limits.dial_s, self._post, self._standing)
+        classes = frozenset(each.name for each in config.settings.classes)
+        self.loop = Loop(self.module, Switch(self.nodes, self.edges), now_us, self._wake, config.period_us,
+                         classes)
+        self.front = RtspFront(reactor, self._post, self._ready, classes, config.sockets // 3,
+                               self._in_use)
+        self.hints = HintsFront(reactor, self._post, self._ready, classes)
         self.feed = Feed(reactor, config.coordinator_address, config.index, self._changed)
         self.stopping = False
         self._call: Any = None
@@ -51,14 +59,19 @@
             self._changed(change)
         self.loop.tick()
         host, port = self.config.listen
-        self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        port = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host).getHost().port
+        if self.config.hints.enabled:
+            front = self.reactor.listenTCP(self.config.hints.port, self.hints.site(self.config.sockets // 6),
+                                           backlog=BACKLOG, interface=self.config.hints.host)
+            log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(front.getHost())})
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
         self.edges.start()
         self.feed.poll()
         gc.collect()
         gc.freeze()  # what is here now stays: collections need not look at it
-        log.info("serving", extra={"broker": self.config.name, "listen": f"{host}:{port}", "servers": len(self.module.servers)})
+        log.info("serving", extra={"broker": self.config.name, "listen": f"{host}:{port}",
+                                   "servers": len(self.module.servers)})
         self.reactor.run(installSignalHandlers=False)
         log.info("stopped")
 
@@ -79,6 +92,9 @@
     def _post(self, item: Any) -> None:
         self.loop.post(item)
 
+    def _standing(self, edge: str) -> int:
+        return self.loop.standing(edge)
+
     def _wake(self, at_us: int) -> None:
         if self._call is not None and self._call.active():
             self._call.cancel()
@@ -91,7 +107,8 @@
         return any(entry.viewer is viewer and not entry.stands for entry in self.loop.table.values())
 
     def _changed(self, change: Change) -> None:
-        self.edges.named(change.news, change.addresses)
+        edges = [entry for entry in change.news.servers if entry.server not in self.nodes.nodes]
+        self.edges.named(ServerList(edges, change.news.complete), change.addresses)
         self.loop.post(Roster(change.news))
 
 
--- /dev/null
+++ b/lotuspick/protocol/cmcd.py
@@ -0,0 +1,50 @@
+"""CMCD (CTA-5004): what players say of themselves, in headers or in the query."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from lotuspick.interface import PlayerHint
+from lotuspick.protocol import structured
+from lotuspick.protocol.faults import ProtocolFault, fits
+from lotuspick.protocol.structured import FLAG, NUMBER, TEXT, TOKEN, WHOLE
+
+HEADERS = ("cmcd-request", "cmcd-object", "cmcd-status", "cmcd-session")
+QUERY = "CMCD"
+KINDS = {
+    "br": WHOLE, "bl": WHOLE, "bs": FLAG, "cid": TEXT, "d": WHOLE, "dl": WHOLE, "mtp": WHOLE, "nor": TEXT,
+    "nrr": TEXT, "ot": TOKEN, "pr": NUMBER, "rtp": WHOLE, "sf": TOKEN, "sid": TEXT, "st": TOKEN, "su": FLAG,
+    "tb": WHOLE, "v": WHOLE,
+}
+WORDS = {"ot": frozenset("m a v av i c tt k o".split()), "sf": frozenset("d h s o".split()),
+         "st": frozenset("v l".split())}
+KB_PER_KBIT = 1 / 8
+
+
+def read(headers: Mapping[str, str], query: str | None = None) -> dict[str, Any]:
+    """All known keys of the four headers (names in lower case) and of the query argument, as decoded."""
+    parts = [(name, headers[name]) for name in HEADERS if name in headers]
+    if query is not None:
+        parts.append((QUERY, query))
+    fits(sum(len(text) for _, text in parts), "CMCD")
+    found: dict[str, Any] = {}
+    for name, text in parts:
+        pairs = [(key, structured.bare(value))
+                 for key, value in structured.parse(text, "dictionary", name).items()]
+        for key, value in structured.check(pairs, KINDS, WORDS, name).items():
+            if found.setdefault(key, value) != value:
+                raise ProtocolFault(f"{key} is given twice, and not alike")
+    return found
+
+
+def hint(session: str, keys: Mapping[str, Any]) -> PlayerHint | None:
+    """What the keys tell the decisions of a session; None where they tell nothing."""
+    if not keys.keys() & {"bl", "bs", "mtp"}:
+        return None
+    return PlayerHint(
+        session,
+        buffer_s=keys["bl"] / 1_000 if "bl" in keys else None,
+        starved=keys.get("bs", False),
+        throughput_kb=keys["mtp"] * KB_PER_KBIT if "mtp" in keys else None,
+    )
--- /dev/null
+++ b/lotuspick/protocol/cmsd.py
@@ -0,0 +1,46 @@
+"""CMSD (CTA-5006): what media nodes say of themselves, in the headers of their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from lotuspick.interface import ServerHint
+from lotuspick.protocol import structured
+from lotuspick.protocol.faults import ProtocolFault
+from lotuspick.protocol.structured import FLAG, NUMBER, TEXT, TOKEN, WHOLE
+
+STATIC, DYNAMIC = "cmsd-static", "cmsd-dynamic"
+STATIC_KINDS = {"at": WHOLE, "br": WHOLE, "d": WHOLE, "ht": WHOLE, "n": TEXT, "nor": TEXT, "nrr": TEXT,
+                "ot": TOKEN, "sf": TOKEN, "st": TOKEN, "v": WHOLE}
+DYNAMIC_KINDS = {"du": FLAG, "etp": WHOLE, "mb": WHOLE, "rd": NUMBER, "rtt": WHOLE}
+WORDS = {"ot": frozenset("m a v av i c tt k o".split()), "sf": frozenset("d h s o".split()),
+         "st": frozenset("v l".split())}
+KB_PER_KBIT = 1 / 8
+
+
+def read_static(text: str) -> dict[str, Any]:
+    """The known keys of ``CMSD-Static``."""
+    pairs = [(key, structured.bare(value))
+             for key, value in structured.parse(text, "dictionary", STATIC).items()]
+    return structured.check(pairs, STATIC_KINDS, WORDS, STATIC)
+
+
+def read_dynamic(text: str) -> list[tuple[str, dict[str, Any]]]:
+    """The entries of ``CMSD-Dynamic``, one for each server that the answer came through, the origin first."""
+    entries = []
+    for value, parameters in structured.parse(text, "list", DYNAMIC):
+        if not isinstance(value, str):
+            raise ProtocolFault(f"{DYNAMIC} has an entry that names no server: {str(value)[:40]!r}")
+        entries.append((str(value), structured.check(parameters.items(), DYNAMIC_KINDS, WORDS, DYNAMIC)))
+    return entries
+
+
+def hint(node: str, headers: Mapping[str, str]) -> ServerHint | None:
+    """What an answer of a node (header names in lower case) tells the decisions of its link. The node's own
+    entry counts, or the first, since the node is the origin of what it answers."""
+    if STATIC in headers:
+        read_static(headers[STATIC])
+    entries = read_dynamic(headers[DYNAMIC]) if DYNAMIC in headers else []
+    keys = next((keys for name, keys in entries if name == node), entries[0][1] if entries else {})
+    return ServerHint(node, keys["etp"] * KB_PER_KBIT) if "etp" in keys else None
--- a/lotuspick/protocol/coordinator.py
+++ b/lotuspick/protocol/coordinator.py
@@ -42,7 +42,7 @@
 def address(text: str) -> tuple[str, int]:
     """host:port."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65_536:
         raise ProtocolFault(f"address is not host:port: {text[:60]!r}")
     return host.strip("[]"), int(port)
 
--- a/lotuspick/protocol/rtsp.py
+++ b/lotuspick/protocol/rtsp.py
@@ -127,8 +127,11 @@
     return figures
 
 
-def read_set_up(message: Message, now_us: int, viewer: Viewer | None = None) -> Asked:
+def read_set_up(message: Message, now_us: int, classes: frozenset[str],
+                viewer: Viewer | None = None) -> Asked:
     """The set-up that a SETUP asks for. ``now_us``: when it was read, for its deadline."""
+    if message.header("P-Kind") not in classes:
+        raise ProtocolFault(f"P-Kind is unknown: {message.header('P-Kind')[:40]!r}")
     title = message.address[len(BASE):]
     if not title:
         raise ProtocolFault("address names no title")
--- /dev/null
+++ b/lotuspick/protocol/structured.py
@@ -0,0 +1,62 @@
+"""What CMCD and CMSD share: structured fields with typed keys, on a maintained parser."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from decimal import Decimal
+from typing import Any
+
+import http_sf
+from http_sf import Token
+
+from lotuspick.protocol.faults import ProtocolFault, fits
+
+MOST_KEYS = 64
+MOST_TEXT = 1_024
+
+WHOLE, FLAG, TEXT, NUMBER, TOKEN = "a whole number", "a boolean", "a string", "a number", "a token"
+
+
+def parse(text: str, kind: str, name: str) -> Any:
+    """A dictionary or list of structured fields; ``name`` is told with a fault."""
+    fits(len(text), name)
+    try:
+        return http_sf.parse(text.encode("ascii"), tltype=kind)
+    except UnicodeEncodeError:
+        raise ProtocolFault(f"{name} is not ASCII") from None
+    except http_sf.StructuredFieldError as error:
+        raise ProtocolFault(f"{name}: {error}") from None
+
+
+def bare(value: Any) -> Any:
+    """The value of an item or inner list, without its parameters."""
+    return [bare(each) for each in value[0]] if isinstance(value[0], list) else value[0]
+
+
+def check(pairs: Iterable[tuple[str, Any]], kinds: Mapping[str, str], words: Mapping[str, frozenset[str]],
+          name: str) -> dict[str, Any]:
+    """The known keys, each of its type; unknown ones, of later versions or of others, are passed over."""
+    found: dict[str, Any] = {}
+    for count, (key, value) in enumerate(pairs):
+        if count >= MOST_KEYS:
+            raise ProtocolFault(f"{name} has more than {MOST_KEYS} keys")
+        if key in kinds:
+            found[key] = _typed(key, value, kinds[key], words.get(key))
+    return found
+
+
+def _typed(key: str, value: Any, kind: str, words: frozenset[str] | None) -> Any:
+    if isinstance(value, list) and len(value) == 1:  # version 2 puts some values into inner lists
+        value = value[0]
+    good = {
+        WHOLE: isinstance(value, int) and not isinstance(value, bool) and value >= 0,
+        FLAG: isinstance(value, bool),
+        TEXT: isinstance(value, str) and not isinstance(value, Token) and len(value) <= MOST_TEXT,
+        NUMBER: isinstance(value, (int, float, Decimal)) and not isinstance(value, bool) and value >= 0,
+        TOKEN: isinstance(value, Token),
+    }[kind]
+    if not good:
+        raise ProtocolFault(f"{key} must be {kind}, not {str(value)[:40]!r}")
+    if words is not None and str(value) not in words:
+        raise ProtocolFault(f"{key} must be one of {', '.join(sorted(words))}, not {str(value)[:40]!r}")
+    return float(value) if kind == NUMBER else str(value) if kind in (TEXT, TOKEN) else value
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -42,6 +42,7 @@
     EdgeNoted,
     EdgeReleased,
     Edges,
+    Hinted,
     Inbound,
     Roster,
     SetUp,
@@ -54,7 +55,6 @@
 
 MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
 OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
-UNKNOWN_EDGE_US = 3_000_000  # a session handed over at a server that no list names within this is lost
 MS = 1_000
 
 
@@ -98,7 +98,7 @@
             Asked: self._asked, Dropped: self._dropped, ViewerLost: self._viewer_lost,
             ViewerCame: self._viewer_came, EdgeAnswered: self._answered, EdgeReleased: self._edge_released,
             EdgeNoted: self._noted, AttemptOver: self._attempt_over, EdgeDown: self._edge_down,
-            Roster: lambda item, now: [item.news],
+            Roster: lambda item, now: [item.news], Hinted: lambda item, now: [item.hint],
         }
 
     # ---- inbox and tick -----------------------------------------------------------------------------------
--- a/lotuspick/routing/ports.py
+++ b/lotuspick/routing/ports.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from lotuspick.interface import ServerList, SessionRequest
+from lotuspick.interface import PlayerHint, ServerHint, ServerList, SessionRequest
 from lotuspick.routing.endings import Ending
 
 
@@ -150,5 +150,12 @@
     news: ServerList
 
 
+@dataclass(frozen=True, slots=True)
+class Hinted:
+    """What a player or a media node says of itself."""
+
+    hint: PlayerHint | ServerHint
+
+
 Inbound = (Asked | Dropped | ViewerLost | ViewerCame | EdgeAnswered | EdgeReleased | EdgeNoted | AttemptOver
-           | EdgeDown | Roster)
+           | EdgeDown | Roster | Hinted)
--- /dev/null
+++ b/lotuspick/transport/bodies.py
@@ -0,0 +1,45 @@
+"""Bodies of HTTP answers, read whole and bounded."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet import protocol
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
+
+from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
+
+MOST = 4 * MOST_BYTES  # the list of a large fleet is longer than a message
+
+
+class _Body(protocol.Protocol):
+    """Gathers a body, up to the bound."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self.done: Deferred[bytes] = Deferred(lambda _: self.transport.abortConnection())
+        self.parts = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        self.parts += data
+        if len(self.parts) > MOST:
+            self._finish(Failure(ProtocolFault("answer is too long")))
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self._finish(self.parts if reason.check(ResponseDone, PotentialDataLoss) else reason)
+
+    def _finish(self, result: bytes | Failure) -> None:
+        if not self.done.called:
+            self.done.callback(result)
+
+
+def read_body(response: Any) -> Deferred[bytes]:
+    """The whole body of a response of Twisted's agent."""
+    body = _Body()
+    response.deliverBody(body)
+    return body.done
--- a/lotuspick/transport/coordinator.py
+++ b/lotuspick/transport/coordinator.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import protocol
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import Agent, HTTPConnectionPool
 
 from lotuspick.protocol import coordinator as wire
-from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
+from lotuspick.protocol.faults import ProtocolFault
 from lotuspick.transport.base import Reactor
+from lotuspick.transport.bodies import read_body
 
 log = logging.getLogger(__name__)
 
@@ -22,29 +22,6 @@
 AGAIN_S = 0.1  # pause after a failure, so that a coordinator that refuses is not asked in a tight loop
 
 
-class _Body(protocol.Protocol):
-    """Gathers a body, up to the bound."""
-
-    transport: Any
-
-    def __init__(self) -> None:
-        self.done: Deferred[bytes] = Deferred(lambda _: self.transport.abortConnection())
-        self.parts = b""
-
-    def dataReceived(self, data: bytes) -> None:
-        self.parts += data
-        if len(self.parts) > 4 * MOST_BYTES:
-            self._finish(Failure(ProtocolFault("answer is too long")))
-            self.transport.abortConnection()
-
-    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        self._finish(self.parts if reason.check(ResponseDone) else reason)
-
-    def _finish(self, result: bytes | Failure) -> None:
-        if not self.done.called:
-            self.done.callback(result)
-
-
 class Feed:
     """Follows the coordinator from an index on."""
 
@@ -66,9 +43,7 @@
     def _answer(self, response: Any) -> Deferred[bytes]:
         if response.code != 200:
             raise ProtocolFault(f"status {response.code}")
-        body = _Body()
-        response.deliverBody(body)
-        return body.done
+        return read_body(response)
 
     def _read(self, body: bytes) -> None:
         last, changes = wire.parse(body, self.index)
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -25,6 +25,7 @@
 
 MOST_QUEUED = 256  # messages that wait for one connection
 SWEEP_S = 0.25
+UNKNOWN_S = 3.0  # a server without an address, on which sessions stand, may be named within this
 DIALS = 2  # dials that time out before a machine where sessions stand is taken for gone
 
 
@@ -237,10 +238,10 @@
         standing = self.pool.standing(self.edge)
         if connection is None or not connection.up:
             if standing and not self.dialing:
-                if self.address is None:
-                    self.down(Ending.SILENT)
-                else:
+                if self.address is not None:
                     self.dial()
+                elif now_s - self.heard_s > UNKNOWN_S:
+                    self.down(Ending.SILENT)
             return
         if connection.unread_since is not None and now_s - connection.unread_since > limits.silence_s:
             connection.drop(Ending.SILENT, "does not read")
--- /dev/null
+++ b/lotuspick/transport/hints.py
@@ -0,0 +1,288 @@
+"""The second front: HTTP with CMCD hints, on the same loop and under the same rules as RTSP.
+
+    POST /media/TITLE       a set-up, with the fields of an RTSP one as headers and the description as body
+    POST /sessions/ID       CMCD of a session that plays
+    GET /sessions/ID        waits for the end of a session: 410 when it is over, 204 when nothing came
+    DELETE /sessions/ID     gives a set-up up, or ends a session
+    GET /ready              200 once the broker takes set-ups, else 503
+
+Refusals are 503 with Retry-After, what failed is 500, and malformed input is 400 with the key at fault.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import unquote
+
+from twisted.python.failure import Failure
+from twisted.web import server
+from twisted.web.resource import Resource
+
+from lotuspick.interface import SessionPlaying
+from lotuspick.protocol import cmcd, rtsp
+from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault, session_id
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.ports import Asked, Dropped, Hinted, Inbound, ViewerLost
+from lotuspick.transport.base import Reactor, now_us
+
+log = logging.getLogger(__name__)
+
+FIELDS = ("session", "p-kind", "p-time-left", "p-path", "p-second-try", "x-length", "p-billed")
+MOST_ENDED = 4_096  # sessions that are over and may still be asked about
+WAIT_S = 20.0  # longest wait for an end
+IDLE_S = 60.0
+SERVED, NOTHING, BAD, MISSING, GONE, BUSY, FAILED = 200, 204, 400, 404, 410, 503, 500
+
+
+class BoundedRequest(server.Request):
+    """A request whose body keeps to the bound."""
+
+    def gotLength(self, length: int | None) -> None:
+        self.too_long = length is not None and length > MOST_BYTES
+        self.body_size = 0
+        super().gotLength(0 if self.too_long else length)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        self.body_size += len(data)
+        if self.too_long or self.body_size > MOST_BYTES:
+            self.too_long = True
+            return  # passed over; the answer says so
+        super().handleContentChunk(data)
+
+
+class HttpPlayer:
+    """One session's viewer: it outlives the request that asked for it."""
+
+    def __init__(self, front: HintsFront, session: str, request: Any) -> None:
+        self.front, self.session = front, session
+        self.request: Any = request
+        self.open = True
+        self.stands = False
+        self.waiting: list[Any] = []  # requests that wait for the end
+        request.notifyFinish().addErrback(self._left)
+
+    def _left(self, reason: Failure) -> None:
+        """The connection closed before the answer: the set-up is given up."""
+        if self.request is not None:
+            self.request, self.open = None, False
+            self.front.over(self, Ending.GIVEN_UP)
+            self.front.post(ViewerLost(self))
+
+    def _answer(self, status: int, body: bytes = b"", gap_ms: int | None = None) -> None:
+        request, self.request = self.request, None
+        if request is None:
+            return
+        if gap_ms is not None:
+            request.setHeader("retry-after", str(max(1, math.ceil(gap_ms / 1_000))))
+            if gap_ms > 0:
+                request.setHeader("p-gap-ms", str(gap_ms))
+        finish(request, status, body)
+
+    def served(self, session: str, description: bytes) -> None:
+        self.stands = True
+        self._answer(SERVED, description)
+
+    def refused(self, session: str, gap_ms: int) -> None:
+        self._answer(BUSY, b"", gap_ms)
+        self.front.over(self, Ending.TURNED_AWAY)
+
+    def failed(self, session: str, why: str = "") -> None:
+        self._answer(FAILED, why.encode())
+        self.front.over(self, Ending.EDGE_ERROR)
+
+    def released(self, session: str, ending: Ending) -> None:
+        self.front.over(self, ending)
+
+
+class HintsFront:
+    """All players of this front, by session."""
+
+    def __init__(self, reactor: Reactor, post: Callable[[Inbound], None], ready: Callable[[], bool],
+                 classes: frozenset[str]) -> None:
+        self.reactor, self.post, self.ready, self.classes = reactor, post, ready, classes
+        self.players: dict[str, HttpPlayer] = {}
+        self.ended: OrderedDict[str, Ending] = OrderedDict()
+
+    def site(self, most: int) -> server.Site:
+        site = BoundedSite(Tree(self), most)
+        site.requestFactory = BoundedRequest
+        return site
+
+    def over(self, player: HttpPlayer, ending: Ending) -> None:
+        """A set-up or session has ended; whoever waits for that hears it now."""
+        if self.players.get(player.session) is not player:
+            return
+        del self.players[player.session]
+        self.ended[player.session] = ending
+        while len(self.ended) > MOST_ENDED:
+            self.ended.popitem(last=False)
+        waiting, player.waiting = player.waiting, []
+        for request in waiting:
+            finish(request, GONE, ending.value.encode())
+
+
+class BoundedSite(server.Site):
+    """Closes what comes over the bound on connections."""
+
+    noisy = False
+    displayTracebacks = False
+
+    def __init__(self, tree: Resource, most: int) -> None:
+        super().__init__(tree, timeout=IDLE_S)
+        self.most, self.connections = most, 0
+
+    def log(self, request: object) -> None:
+        """No access log: what matters is logged where it happens."""
+
+    def buildProtocol(self, addr: object) -> Any:
+        if self.connections >= self.most:
+            return None
+        channel: Any = super().buildProtocol(addr)
+        self.connections += 1
+        lost = channel.connectionLost
+
+        def counted(reason: Failure) -> None:
+            self.connections -= 1
+            lost(reason)
+
+        channel.connectionLost = counted
+        return channel
+
+
+class Tree(Resource):
+    """Every path of this front."""
+
+    isLeaf = True
+
+    def __init__(self, front: HintsFront) -> None:
+        super().__init__()
+        self.front = front
+
+    def render(self, request: Any) -> Any:
+        method, path = request.method.decode("ascii", "replace"), request.path.decode("ascii", "replace")
+        try:
+            if request.too_long:
+                raise ProtocolFault(f"body holds over {MOST_BYTES} bytes")
+            match method, path.split("/")[1:]:
+                case "GET", ["ready"]:
+                    status = SERVED if self.front.ready() else BUSY
+                case "POST", ["media", title] if title:
+                    status = self._set_up(request, unquote(title))
+                case "POST", ["sessions", text]:
+                    status = self._hint(request, session_id(text))
+                case "GET", ["sessions", text]:
+                    status = self._wait(request, session_id(text))
+                case "DELETE", ["sessions", text]:
+                    status = self._drop(session_id(text))
+                case _:
+                    status = MISSING
+        except ProtocolFault as fault:
+            log.info("malformed request from a player", extra={"path": path[:60], "fault": str(fault)})
+            finish(request, BAD, str(fault).encode())
+            return server.NOT_DONE_YET
+        if status:
+            finish(request, status)
+        return server.NOT_DONE_YET
+
+    def _cmcd(self, request: Any) -> dict[str, Any]:
+        headers = {name: header(request, name) for name in cmcd.HEADERS if request.getHeader(name)}
+        queries = request.args.get(cmcd.QUERY.encode(), [])
+        if len(queries) > 1:
+            raise ProtocolFault(f"{cmcd.QUERY} is given twice")
+        return cmcd.read(headers, queries[0].decode("utf-8", "replace") if queries else None)
+
+    def _set_up(self, request: Any, title: str) -> int:
+        keys = self._cmcd(request)
+        if not title.isascii() or not title.isprintable() or " " in title:
+            raise ProtocolFault("title is not printable ASCII")
+        message = rtsp.Message("SETUP", rtsp.BASE + title, body=request.content.read(),
+                               headers={name: header(request, name) for name in FIELDS
+                                        if request.getHeader(name) is not None})
+        session = message.session
+        asked = rtsp.read_set_up(message, now_us(), self.front.classes)
+        if isinstance(asked.request, SessionPlaying):
+            raise ProtocolFault("P-Path at is not taken here")
+        if session in self.front.players:
+            raise ProtocolFault("Session is in use")
+        player = HttpPlayer(self.front, session, request)
+        self.front.players[session] = player
+        self.front.post(Asked(asked.request, asked.description, player))
+        self._tell(session, keys)
+        return 0
+
+    def _hint(self, request: Any, session: str) -> int:
+        keys = self._cmcd(request)
+        if session not in self.front.players:
+            return GONE if session in self.front.ended else MISSING
+        self._tell(session, keys)
+        return NOTHING
+
+    def _tell(self, session: str, keys: dict[str, Any]) -> None:
+        hint = cmcd.hint(session, keys)
+        if hint is not None:
+            self.front.post(Hinted(hint))
+
+    def _wait(self, request: Any, session: str) -> int:
+        player = self.front.players.get(session)
+        if player is None:
+            if session not in self.front.ended:
+                return MISSING
+            finish(request, GONE, self.front.ended[session].value.encode())
+            return 0
+        player.waiting.append(request)
+
+        def too_long() -> None:
+            if request in player.waiting:
+                player.waiting.remove(request)
+                finish(request, NOTHING)
+
+        def finished(_: object) -> None:
+            if request in player.waiting:
+                player.waiting.remove(request)
+            if call.active():
+                call.cancel()
+
+        call = self.front.reactor.callLater(WAIT_S, too_long)
+        request.notifyFinish().addBoth(finished)
+        return 0
+
+    def _drop(self, session: str) -> int:
+        player = self.front.players.get(session)
+        if player is None:
+            return GONE if session in self.front.ended else MISSING
+        self.front.post(Dropped(session))
+        if player.request is not None:  # nothing is owed for a set-up given up, but its request wants an end
+            player.refused(session, 0)
+        else:
+            self.front.over(player, Ending.REVOKED)
+        return NOTHING
+
+
+def header(request: Any, name: str) -> str:
+    """A header of a request as text; given twice it is a fault."""
+    values = request.requestHeaders.getRawHeaders(name, [])
+    if len(values) != 1:
+        raise ProtocolFault(f"{name} is given twice")
+    text: str = values[0]
+    return text
+
+
+def finish(request: Any, status: int, body: bytes = b"") -> None:
+    """Write the whole answer, if anyone is there to read it."""
+    if request._disconnected or request.finished:
+        return
+    request.setResponseCode(status)
+    request.setHeader("content-type", "application/sdp" if status == SERVED else "text/plain")
+    request.setHeader("cache-control", "no-store")
+    if status == NOTHING or request.method == b"HEAD":
+        body = b""
+    else:
+        request.setHeader("content-length", str(len(body)))
+    request.write(body)
+    request.finish()
+
+
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -125,7 +125,7 @@
         try:
             match message.method:
                 case "SETUP":
-                    self.front.post(rtsp.read_set_up(message, now_us(), self))
+                    self.front.post(rtsp.read_set_up(message, now_us(), self.front.classes, self))
                 case "TEARDOWN":
                     self.front.post(Dropped(message.session))
                     self._write(rtsp.response(rtsp.SERVED, cseq, message.session))
@@ -167,8 +167,9 @@
     noisy = False
 
     def __init__(self, reactor: Reactor, post: Callable[[Inbound], None], ready: Callable[[], bool],
-                 most: int, in_use: Callable[[RtspViewer], bool]) -> None:
-        self.reactor, self.post, self.ready, self.most, self.in_use = reactor, post, ready, most, in_use
+                 classes: frozenset[str], most: int, in_use: Callable[[RtspViewer], bool]) -> None:
+        self.reactor, self.post, self.ready, self.classes = reactor, post, ready, classes
+        self.most, self.in_use = most, in_use
         self.viewers: dict[RtspViewer, None] = {}
 
     def buildProtocol(self, addr: object) -> RtspViewer:
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,343 @@
+"""The real program on sockets, in scenarios."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from scenario import World
+
+PLAYING = """
+    v1 send SETUP s1 kind=exam body=offer
+    e0 expect OPENED
+    e0 expect SETUP s1 class=exam title=aa00 rung=1 body=offer
+    e0 send ANSWER s1 body=answer
+    v1 expect 200 s1 cseq=1 body=answer
+"""
+
+
+class Scenario(unittest.TestCase):
+    def play(self, script: str, **world: Any) -> None:
+        made = World(**world)
+        self.addCleanup(made.end)
+        made.play(script)
+        self.assertNotIn("Traceback", "".join(made.broker.log))
+
+
+class Sessions(Scenario):
+    def test_a_session_from_set_up_to_its_end(self) -> None:
+        self.play(PLAYING + """
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+        """)
+
+    def test_options_are_answered_when_ready(self) -> None:
+        self.play("""
+            v1 send OPTIONS
+            v1 expect 200 cseq=3
+        """)
+
+    def test_a_teardown_may_come_on_any_connection(self) -> None:
+        self.play(PLAYING + """
+            v2 send TEARDOWN s1 cause=31
+            v2 expect 200 s1 cseq=2
+            e0 expect RELEASE s1 cause=31
+            e0 send RELEASE s1 cause=31
+            v1 expect NOTHING
+        """)
+
+    def test_a_session_outlives_its_viewer_connection(self) -> None:
+        self.play(PLAYING + """
+            v1 close
+            e0 expect NOTHING
+            e0 send RELEASE s1 cause=41
+            e0 wait 0.3
+            v2 expect TEARDOWN s1 why=cause=41
+        """)
+
+    def test_a_session_outlives_its_edge_connection(self) -> None:
+        self.play(PLAYING + """
+            e0 close
+            e0 expect CLOSED
+            e0 expect OPENED
+            v1 expect NOTHING
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+        """)
+
+    def test_what_plays_already_is_taken_over_without_an_answer(self) -> None:
+        self.play("""
+            v1 send SETUP s7 kind=clip at=e0
+            e0 expect OPENED
+            v1 expect NOTHING
+            e0 send NOTE s7 topic=profile figure=2
+            e0 send RELEASE s7 cause=41
+            v1 expect TEARDOWN s7 why=cause=41
+        """)
+
+    def test_a_session_handed_over_at_an_unknown_server_is_released(self) -> None:
+        self.play("""
+            v1 send SETUP s7 kind=clip at=e9
+            v1 expect TEARDOWN s7 why=cause=41
+        """)
+
+
+class SetUps(Scenario):
+    def test_closing_gives_up_open_set_ups_alone(self) -> None:
+        self.play(PLAYING + """
+            v1 send SETUP s2 kind=exam
+            e0 expect SETUP s2
+            v1 close
+            e0 expect RELEASE s2 cause=16
+            e0 expect NOTHING
+        """)
+
+    def test_an_answer_that_crosses_the_give_up_leaves_nothing_standing(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam
+            e0 expect OPENED
+            e0 expect SETUP s1
+            v1 send TEARDOWN s1
+            v1 expect 200 s1 cseq=2
+            e0 expect RELEASE s1 cause=16
+            e0 send ANSWER s1 body=late
+            e0 expect RELEASE s1 cause=31
+            v1 expect NOTHING
+        """)
+
+    def test_paid_goes_on_only_after_proof_that_it_never_ran(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam copies=2
+            e1 expect OPENED
+            e1 expect SETUP s1
+            e1 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+        """, e0="refused", e1="up")
+
+    def test_paid_that_may_have_run_fails(self) -> None:
+        for how in ("e0 send RELEASE s1 cause=47", "e0 send RELEASE s1 cause=41", "e0 close", "e0 close reset"):
+            with self.subTest(how):
+                self.play(f"""
+                    v1 send SETUP s1 kind=exam
+                    e0 expect OPENED
+                    e0 expect SETUP s1
+                    {how}
+                    v1 expect 500 s1 cseq=1
+                """)
+
+    def test_full_is_refused_not_failed(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=1500
+            e0 expect OPENED
+            e0 expect SETUP s1
+            e0 send RELEASE s1 cause=34 report=x0:1.2
+            v1 expect 453 s1
+        """)
+
+    def test_no_answer_fails_in_time(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=700
+            e0 expect OPENED
+            e0 expect SETUP s1
+            v1 expect 500 s1
+            e0 expect RELEASE s1 cause=16
+        """)
+
+    def test_a_title_nobody_holds_is_refused(self) -> None:
+        self.play("""
+            v1 send SETUP s1 home=3 left=800
+            v1 expect 453 s1 cseq=1
+        """)
+
+    def test_a_set_up_sent_again_after_a_close_is_one_request(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam
+            e0 expect OPENED
+            e0 expect SETUP s1
+            v2 send SETUP s1 kind=exam
+            e0 expect NOTHING
+            e0 send ANSWER s1 body=x
+            v2 expect 200 s1 body=x
+            v1 expect NOTHING
+        """)
+
+
+class Silence(Scenario):
+    def test_a_machine_that_takes_no_connection_is_unreachable(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=2500
+            v1 expect 453 s1
+        """, e0="silent")
+
+    def test_a_process_that_dies_ends_its_sessions(self) -> None:
+        self.play(PLAYING + """
+            e0 close all
+            v1 expect TEARDOWN s1 why=cause=41
+        """)
+
+    def test_an_address_that_went_to_another_is_not_dialled_for_the_old_id(self) -> None:
+        self.play("""
+            c send e1 state=up address=e0
+            c send e0 state=gone
+            v1 wait 0.5
+            v1 send SETUP s1 home=0 left=700
+            v1 expect 453 s1
+            v1 send SETUP s2 home=1 left=2000
+            e0 expect OPENED
+            e0 expect SETUP s2
+        """)
+
+    def test_nothing_new_goes_to_a_server_that_drains(self) -> None:
+        self.play(PLAYING + """
+            c send e0 state=draining
+            c wait 0.5
+            v1 send SETUP s2 left=800
+            v1 expect 453 s2
+        """)
+
+    def test_a_quiet_coordinator_is_asked_again_with_the_last_index(self) -> None:
+        self.play("""
+            c close quiet
+            c expect ASKED follow=1
+            c expect ASKED follow=1
+            v1 send OPTIONS
+            v1 expect 200
+        """)
+
+
+class Malformed(Scenario):
+    def test_bad_framing_costs_the_connection_and_no_more(self) -> None:
+        for raw in (b"NONSENSE\r\n", b"\xff\xfe\r\n", b"SETUP rtsp://media/a RTSP/1.0\r\nno colon\r\n",
+                    b"SETUP rtsp://media/a RTSP/1.0\r\nContent-Length: 99999\r\n\r\n",
+                    b"SETUP rtsp://media/a RTSP/1.0\r\nContent-Length: -1\r\n\r\n", b"x" * 20000):
+            with self.subTest(raw[:30]):
+                self.play(f"""
+                    v1 send RAW {raw!r}
+                    v1 expect 400
+                    v1 expect CLOSED
+                    v2 send OPTIONS
+                    v2 expect 200
+                """)
+
+    def test_a_bad_field_is_named_and_costs_its_request_alone(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=nosuch
+            v1 expect 400 s1 reason=~P-Kind
+            v1 send SETUP s2 left=soon
+            v1 expect 400 s2 reason=~P-Time-Left
+            v1 send SETUP s3 path=home:0;copies:0;top:1
+            v1 expect 400 s3 reason=~copies
+            v1 send OPTIONS
+            v1 expect 200
+        """)
+
+    def test_an_edge_that_breaks_the_framing_loses_its_connection(self) -> None:
+        for raw in (b"\x00\x03\x09ab", b"\xff\xff", b"\x00\x0c\x09" + bytes(8) + b"\x82\x00\x09"):
+            with self.subTest(raw):
+                self.play(PLAYING + f"""
+                    e0 send RAW {raw!r}
+                    e0 expect CLOSED
+                    e0 expect OPENED
+                    v1 expect NOTHING
+                """)
+
+
+class Stopping(Scenario):
+    def test_sigterm_answers_what_is_owed_and_exits(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=3000
+            e0 expect OPENED
+            e0 expect SETUP s1
+            b send TERM
+            v2 send SETUP s2 kind=exam left=3000
+            e0 expect SETUP s2
+            b expect NOTHING
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+            e0 send ANSWER s2 body=two
+            v2 expect 200 s2 body=two
+            b expect EXIT code=0
+        """)
+
+    def test_sigterm_with_nothing_owed(self) -> None:
+        self.play("""
+            b send TERM
+            b expect EXIT code=0
+        """)
+
+
+class SecondFront(Scenario):
+    SERVED = """
+        p1 send SETUP s1 kind=exam body=offer CMCD-Request=bl=2000
+        n0 expect SETUP s1 class=exam title=aa00 rung=1 body=offer
+        n0 send 200 body=answer etp=16000
+        p1 expect 200 body=answer
+    """
+
+    def test_a_session_from_set_up_to_its_end(self) -> None:
+        self.play(self.SERVED + """
+            p1 send HINT s1 CMCD=bl%3D1200%2Cmtp%3D3200
+            p1 expect 204
+            n0 send OVER s1 how=finished
+            p1 send WAIT s1
+            p1 expect 410 body=finished
+            p1 send HINT s1 CMCD=bl%3D1200
+            p1 expect 410
+        """, hints=True, n0="up")
+
+    def test_both_fronts_share_edges_and_rules(self) -> None:
+        self.play("""
+            p1 send SETUP s1 kind=exam body=offer
+            e0 expect OPENED
+            e0 expect SETUP s1 class=exam
+            e0 send ANSWER s1 body=answer
+            p1 expect 200 body=answer
+            v1 send TEARDOWN s1 cause=31
+            e0 expect RELEASE s1 cause=31
+            p1 send SETUP s2 kind=exam
+            e0 expect SETUP s2
+            e0 send RELEASE s2 cause=47
+            p1 expect 500
+        """, hints=True, e0="up")
+
+    def test_refusals_say_when_to_come_back(self) -> None:
+        self.play("""
+            p1 send SETUP s1 home=3 left=800
+            p1 expect 503 retry=1
+            p1 send READY
+            p1 expect 200
+        """, hints=True, n0="up")
+
+    def test_bad_input_is_400_with_the_key(self) -> None:
+        self.play("""
+            p1 send SETUP s1 kind=nosuch
+            p1 expect 400 body=~P-Kind
+            p1 send HINT s1 CMCD=bl%3Dsoon
+            p1 expect 400 body=~bl
+            p1 send SETUP s2 left=soon
+            p1 expect 400 body=~P-Time-Left
+        """, hints=True, n0="up")
+
+    def test_a_player_that_leaves_gives_its_set_up_up(self) -> None:
+        self.play("""
+            p1 send SETUP s1 kind=exam
+            n0 expect SETUP s1
+            p1 close
+            n0 expect RELEASE s1
+        """, hints=True, n0="up")
+
+    def test_a_node_that_turns_away_or_fails(self) -> None:
+        self.play("""
+            p1 send SETUP s1 kind=exam left=1500
+            n0 expect SETUP s1
+            n0 send 503
+            p1 expect 503
+            p2 send SETUP s2 kind=exam left=1500
+            n0 expect SETUP s2
+            n0 send 500
+            p2 expect 500
+        """, hints=True, n0="up")
+
+
+if __name__ == "__main__":
+    unittest.main()
