Let trust in hints be earned from nothing, and test what hints are worth

Now trust starts at nothing, hints add up within one bound, and a link is made fuller by 5 points at most and emptier by 2.

--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -57,11 +57,12 @@
 NEWS_US = 5_000_000  # us: a gateway that starts hears so soon of servers that started shortly before
 PACE_PART = 0.6  # share of the slow-start budget that is used: leaves slack for chance
 CROSS_BIAS = 0.5  # load that a crossing counts as, for each unit of its price: crossing costs little
-HINT_MOST = 0.05  # share of a link by which hints move its load at most: a few points, less than SPREAD
+HINT_UP, HINT_DOWN = 0.05, 0.02  # share of a link by which hints raise and lower its load at most: a few
+# points, under SPREAD; lowered less, since sessions drawn to a full link cost more than some sent past it
 HINT_US = 4_000_000  # us: a hint stands so long: about the time between load notes
 HINT_SLACK = 0.10  # share of a link by which a server's estimate may be off and still agree with a reading
 HINT_SOURCES = 4_096  # sources whose trust is kept; the one longest unheard goes first
-TRUST_START, TRUST_RISE, TRUST_FALL = 0.5, 0.1, 0.5  # of 1; added where a reading agrees, kept where not
+TRUST_RISE, TRUST_FALL = 0.25, 0.5  # of 1, from 0: added where a reading agrees, kept where it does not
 FULL_BUFFER_S = 2.0  # s: a player with so much buffered, and not starved, is not short
 SPREAD = 0.15  # share of a link: random part in the choice among holders, so gateways do not move as one
 
@@ -537,31 +538,32 @@
         if session is None or session.state != "playing" or session.server is None:
             return
         got_kb = hint.throughput_kb
+        claims, viewer = session.server.claims, session.ask.viewer or hint.session
         if hint.starved or got_kb is not None and got_kb < session.kb * SHORT_FROM:
-            low, high = 1 / SHORT_FROM, math.inf
+            # Trust in cries of a shortage is earned by such cries alone: to be well is said for nothing.
+            claims.pop("well " + viewer, None)
+            claims["short " + viewer] = Claim(1 / SHORT_FROM, math.inf, self.now)
         elif got_kb is not None or (hint.buffer_s or 0.0) >= FULL_BUFFER_S:
-            low, high = 0.0, 1 / SHORT_FROM  # its rate is delivered; how much more would be, it cannot know
-        else:
-            return
-        session.server.claims["p " + (session.ask.viewer or hint.session)] = Claim(low, high, self.now)
+            claims.pop("short " + viewer, None)  # its rate is delivered; what more would be, it cannot know
+            claims["well " + viewer] = Claim(0.0, 1 / SHORT_FROM, self.now)
 
     def _on_server_hint(self, hint: ServerHint) -> None:
         server = self.servers.get(hint.server)
         if server is not None:
             load = max(0.0, 1 - hint.throughput_kb / server.line.kb)
             high = load + HINT_SLACK if load < 1 - HINT_SLACK else math.inf  # nothing left: any overload
-            server.claims["s " + hint.server] = Claim(load - HINT_SLACK, high, self.now)
+            server.claims["server " + hint.server] = Claim(load - HINT_SLACK, high, self.now)
 
     def _hinted(self, server: Server, load: float) -> float:
-        """How far hints move the load of a link: the mean over their sources."""
-        moves = []
+        """How far hints move the load of a link: all together, within the bound."""
+        moves = 0.0
         for source, claim in list(server.claims.items()):
             if self.now - claim.at_us > HINT_US:
                 del server.claims[source]
             else:
                 move = min(max(load, claim.low), claim.high) - load
-                moves.append(max(-HINT_MOST, min(HINT_MOST, move)) * self.trust.get(source, TRUST_START))
-        return sum(moves) / len(moves) if moves else 0.0
+                moves += max(-HINT_DOWN, min(HINT_UP, move)) * self.trust.get(source, 0.0)
+        return max(-HINT_DOWN, min(HINT_UP, moves))
 
     def _judge_hints(self, server: Server, load: float, at_us: int) -> None:
         """A reading wins over hints on the same time: it raises or lowers the trust in whoever gave them, and
@@ -570,7 +572,7 @@
             if self.now - claim.at_us > HINT_US:
                 del server.claims[source]
             elif abs(claim.at_us - at_us) <= HINT_US:
-                agrees, trust = claim.low <= load <= claim.high, self.trust.pop(source, TRUST_START)
+                agrees, trust = claim.low <= load <= claim.high, self.trust.pop(source, 0.0)
                 self.trust[source] = min(1.0, trust + TRUST_RISE) if agrees else trust * TRUST_FALL
                 if not agrees:
                     del server.claims[source]
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -393,11 +393,11 @@
     """A running broker with all that it talks to."""
 
     def __init__(self, hints: bool = False, seed: int = 1, family: dict[str, Any] | None = None,
-                 limits: dict[str, int] | None = None, **states: str) -> None:
+                 limits: dict[str, int] | None = None, node: type[Node] = Node, **states: str) -> None:
         self.states = states or {"e0": "up"}
         self.actors: dict[str, Any] = {"c": Coordinator(self, "c")}
         for label, state in self.states.items():
-            self.actors[label] = Node(self, label) if label[0] == "n" else Edge(self, label, state)
+            self.actors[label] = node(self, label) if label[0] == "n" else Edge(self, label, state)
         self.actors["c"].update(True, [self.entry(label, state, label) for label, state in self.states.items()])
         self.folder = tempfile.TemporaryDirectory()
         settings = {**SETTINGS, "FamilyInfo": {**SETTINGS["FamilyInfo"], **(family or {})}}
@@ -407,7 +407,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **(limits or {})},
             "coordinator": self.actors["c"].address,
             "known": {"index": 1, "updates": self.actors["c"].events[:1]}}))
-        command = [sys.executable, "-m", "lotuspick", "serve"]
+        command = [sys.executable, *os.environ.get("DBG","-m lotuspick").split(), "serve"]
         if hints:
             nodes = [f'"s-{label}" = "{actor.address}"' for label, actor in self.actors.items() if label[0] == "n"]
             front = Path(self.folder.name, "hints.toml")
--- /dev/null
+++ b/tests/test_hints.py
@@ -0,0 +1,215 @@
+"""Hints: how the core weighs them, what the codecs make of them, and what they are worth on loopback."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from statistics import mean
+from typing import Any
+
+from helpers import SECOND, controller, of, request
+from scenario import Node, World, number
+
+from lotuspick.control import HINT_DOWN, HINT_UP, HINT_US, Controller
+from lotuspick.interface import Note, PlayerHint, Send, ServerHint, Started
+from lotuspick.protocol import cmcd, cmsd
+from lotuspick.protocol.faults import ProtocolFault
+
+NOW = 20 * SECOND
+
+
+class Weighing(unittest.TestCase):
+    def made(self) -> Controller:
+        return controller(2, loads=0.5, cells=2)
+
+    def earn(self, made: Controller, times: int = 4) -> None:
+        """Server s0 tells what its notes then bear out."""
+        for _ in range(times):
+            made.handle(NOW, [ServerHint("s0", 500.0), Note("none", "s0", "link", 0.5)])
+
+    def moved(self, made: Controller, now: int = NOW, load: float = 0.5) -> float:
+        made.handle(now, [])
+        return made._hinted(made.servers["s0"], load)
+
+    def test_an_unknown_source_moves_nothing(self) -> None:
+        made = self.made()
+        made.handle(NOW, [ServerHint("s0", 0.0)])
+        self.assertEqual(self.moved(made), 0.0)
+
+    def test_trust_is_earned_and_the_move_bounded(self) -> None:
+        made = self.made()
+        self.earn(made)
+        made.handle(NOW, [ServerHint("s0", 0.0)])
+        self.assertAlmostEqual(self.moved(made), HINT_UP)
+        made.handle(NOW, [ServerHint("s0", 1e9)])
+        self.assertAlmostEqual(self.moved(made), -HINT_DOWN)
+
+    def test_a_hint_expires(self) -> None:
+        made = self.made()
+        self.earn(made)
+        made.handle(NOW, [ServerHint("s0", 0.0)])
+        self.assertEqual(self.moved(made, NOW + HINT_US + 1), 0.0)
+
+    def test_a_reading_wins_and_costs_trust(self) -> None:
+        made = self.made()
+        self.earn(made)
+        made.handle(NOW, [ServerHint("s0", 0.0), Note("none", "s0", "link", 0.5)])
+        self.assertEqual(self.moved(made), 0.0)
+        made.handle(NOW, [ServerHint("s0", 0.0)])
+        self.assertAlmostEqual(self.moved(made), HINT_UP / 2)
+
+    def test_a_player_speaks_of_its_own_server_alone_and_only_while_it_plays(self) -> None:
+        made = self.made()
+        send = of(made.handle(NOW, [request("a", NOW, copies=2)]), Send)[0]
+        made.handle(NOW, [PlayerHint("a", starved=True), PlayerHint("nobody", starved=True)])
+        self.assertFalse(any(server.claims for server in made.servers.values()))
+        made.handle(NOW, [Started("a", 0, send.server, 1_000), PlayerHint("a", starved=True)])
+        self.assertEqual([name for name, server in made.servers.items() if server.claims], [send.server])
+
+    def test_a_player_that_cries_short_is_believed_once_shares_bear_it_out(self) -> None:
+        made = self.made()
+        send = of(made.handle(NOW, [request("a", NOW, copies=2)]), Send)[0]
+        made.handle(NOW, [Started("a", 0, send.server, 1_000)])
+        server = made.servers[send.server]
+        for _ in range(4):
+            made.handle(NOW, [PlayerHint("a", throughput_kb=1.0), Note("a", send.server, "share", 0.5)])
+        self.assertGreater(made._hinted(server, 0.5), 0.0)
+        made.handle(NOW, [Note("a", send.server, "share", 1.0)])
+        self.assertEqual(made._hinted(server, 0.5), 0.0)
+
+    def test_a_player_that_is_well_earns_no_trust_for_its_cries(self) -> None:
+        made = self.made()
+        send = of(made.handle(NOW, [request("a", NOW, copies=2)]), Send)[0]
+        made.handle(NOW, [Started("a", 0, send.server, 1_000)])
+        for _ in range(4):
+            made.handle(NOW, [PlayerHint("a", buffer_s=9.0), Note("a", send.server, "link", 0.5)])
+        made.handle(NOW, [PlayerHint("a", starved=True)])
+        self.assertEqual(made._hinted(made.servers[send.server], 0.5), 0.0)
+
+    def test_trust_is_kept_for_a_bounded_number_of_sources(self) -> None:
+        made = self.made()
+        made.trust = {f"short {each}": 0.5 for each in range(4_096)}
+        self.earn(made, 1)
+        self.assertEqual(len(made.trust), 4_096)
+
+    def test_nonsense_is_refused_where_it_is_made(self) -> None:
+        for make in (lambda: ServerHint("s0", -1.0), lambda: ServerHint("s0", float("nan")),
+                     lambda: PlayerHint("a", throughput_kb=float("inf")), lambda: PlayerHint("a", buffer_s=-1)):
+            with self.assertRaises(ValueError):
+                make()
+
+
+class Codecs(unittest.TestCase):
+    def test_cmcd_of_headers_and_query(self) -> None:
+        keys = cmcd.read({"cmcd-request": "bl=1500,mtp=3200", "cmcd-status": "bs,com.example-x=1"}, 'cid="x",ot=v')
+        self.assertEqual(keys, {"bl": 1500, "mtp": 3200, "bs": True, "cid": "x", "ot": "v"})
+        self.assertEqual(cmcd.hint("s", keys), PlayerHint("s", 1.5, True, 400.0))
+        self.assertIsNone(cmcd.hint("s", {"cid": "x"}))
+
+    def test_cmsd_takes_the_nodes_own_entry(self) -> None:
+        headers = {cmsd.DYNAMIC: '"origin";etp=8, "n1";etp=800;rtt=2', cmsd.STATIC: 'ot=v,br=200'}
+        self.assertEqual(cmsd.hint("n1", headers), ServerHint("n1", 100.0))
+        self.assertEqual(cmsd.hint("n2", headers), ServerHint("n2", 1.0))
+        self.assertIsNone(cmsd.hint("n1", {}))
+
+    def test_faults_name_the_key(self) -> None:
+        for text, key in (("bl=x", "bl"), ("bs=1", "bs"), ("mtp=-1", "mtp"), ("ot=zz", "ot"), ('cid=1', "cid"),
+                          ("mtp=1.5", "mtp"), ("br=", "br"), ("bl=1,,", "CMCD")):
+            with self.subTest(text), self.assertRaisesRegex(ProtocolFault, key):
+                cmcd.read({}, text)
+        for text, key in (('"n";etp=x', "etp"), ("5;etp=1", "names no server"), ('"n";du=3', "du")):
+            with self.subTest(text), self.assertRaisesRegex(ProtocolFault, key):
+                cmsd.hint("n", {cmsd.DYNAMIC: text})
+        with self.assertRaisesRegex(ProtocolFault, "bl"):
+            cmcd.read({"cmcd-request": "bl=1"}, "bl=2")
+        with self.assertRaisesRegex(ProtocolFault, "CMCD"):
+            cmcd.read({}, "a" * 20_000)
+
+
+LINK_KB, CALM, BUSY = 40_000.0, 0.60, 1.12  # of each node's link, others ask so much
+EARLY, LATE = 10, 24
+STALL = 8.0  # points of worth lost for each point of the rate that is missing
+
+
+class MediaNode(Node):
+    """A node with a link that its sessions share with others'. ``told``: what its hints say of its room."""
+
+    def __init__(self, world: World, label: str) -> None:
+        self.others, self.told, self.early = CALM, "nothing", True
+        self.rungs: dict[str, int] = {}
+        self.polls: dict[int, Any] = {}
+        super().__init__(world, label)
+
+    @property
+    def load(self) -> float:
+        ladder = (100.0, 200.0, 400.0)
+        return self.others + sum(ladder[rung] for rung in self.rungs.values()) / LINK_KB
+
+    def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> tuple[int, dict, bytes]:
+        if path == "/events":
+            self.heard.put(("POLL", "", query))
+            return super().answer(method, path, query, body)
+        session = path.rpartition("/")[2]
+        if method == "DELETE":
+            self.rungs.pop(session, None)
+            return 204, {}, b""
+        self.rungs[session] = int(query["rung"])
+        free = {"honest": 1 - self.load, "stale": 1 - CALM, "false": float(self.load > 0.8),
+                "turning": float(self.load > 0.8) if self.label == "n0" and not self.early else 1 - self.load}.get(self.told)
+        hints = {} if free is None else {
+            "CMSD-Dynamic": f'"s-{self.label}";etp={max(0, int(free * LINK_KB * 8))}'}
+        return 200, hints, self.label.encode()
+
+    def note(self, session: str) -> None:
+        """Tell the load, and wait until the broker has taken that in: it asks for what comes after."""
+        self.tell({"session": number(session), "note": "nic", "value": self.load})
+        while int(self.heard.get(timeout=20)[2].get("after", -1)) < len(self.events):
+            pass
+
+
+def service(told: str, players: str, seed: int) -> float:
+    """A cohort comes to a title that two nodes hold. At first notes come; then they stay out, as in a trouble on
+    record, while others fill the link of one node. A node that turns tells the truth only till then. The mean worth of those who came after that."""
+    world = World(hints=True, node=MediaNode, n0="up", n1="up", seed=seed, family={"WeightKb": LINK_KB,
+                  "PlacesByKind": [200]})
+    try:
+        nodes = [world.actors["n0"], world.actors["n1"]]
+        late: list[tuple[Any, str]] = []
+        for node in nodes:
+            node.told = told
+        for index in itertools.count(1):
+            if index == EARLY:
+                nodes[0].others = BUSY
+                nodes[0].early = nodes[1].early = False
+            if index == EARLY + LATE:
+                break
+            world.play(f"p send SETUP s{index} copies=2 path=home:0;copies:2;top:2;viewer:{index:016x}")
+            status, _, said = world.actors["p"].heard.get(timeout=20)
+            assert status == "200", status
+            node = world.actors[said["body"]]
+            if index < EARLY:
+                node.note(f"s{index}")
+            else:
+                late.append((node, number(f"s{index}")))
+            if players != "none":
+                short = (node.load > 1) == (players == "honest")
+                world.play(f"p send HINT s{index} CMCD={'bs%2Cmtp%3D8' if short else 'bl%3D9000'}\np expect 204")
+        return mean((0.3, 0.6, 1.0)[node.rungs[session]]
+                    * max(0.0, 1 - STALL * max(0.0, 0.98 - 1 / max(1.0, node.load))) for node, session in late)
+    finally:
+        world.end()
+
+
+class Worth(unittest.TestCase):
+    def test_honest_hints_raise_service_and_false_ones_lower_it_by_few_points(self) -> None:
+        arms = {"no hints": ("nothing", "none"), "honest": ("honest", "honest"), "false": ("false", "false"),
+                "stale": ("stale", "none"), "contradicting": ("false", "honest"), "turning": ("turning", "false")}
+        found = {arm: mean(service(*hints, seed) for seed in (1, 2, 3)) for arm, hints in arms.items()}
+        print("\nservice " + ", ".join(f"{arm} {figure:.3f}" for arm, figure in found.items()))
+        self.assertGreater(found["honest"], found["no hints"] + 0.05)
+        for arm in ("false", "stale", "contradicting", "turning"):
+            self.assertGreater(found[arm], found["no hints"] - 0.05, arm)
+
+
+if __name__ == "__main__":
+    unittest.main()
