Tell refused viewers to stay away for a second

Lines: Controller._finish callers, now Controller._refuse. Conclusion: 1 s, bounded by what viewers honour.

--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -28,6 +28,7 @@
 BIND_FROM = 0.80  # share of a link: pools bind only above it (design)
 LIMIT = 0.96  # share of a line that may be asked: sizes and rates told are off by more than the rest
 HOLD_US = 1_000_000  # us: longest hold before a refusal (design)
+STAY_US = 1_000_000  # us: how long a refused viewer is asked to stay away; 0.4 and 2 s served less
 POLL_US = 100_000  # us: held sessions are looked at so often, well under the time in which room changes
 FREE_FROM = 0.45  # share of a line above which the step of least worth a kB is not given, at first
 FREE_LEAST, FREE_MOST = 0.35, 0.75  # its bounds: lower gave nothing more, higher left lines short
@@ -293,7 +294,7 @@
             self.taken.append(self.now)
         self.sessions[ask.session] = session
         if ask.ceiling < cls.floor:  # no rung is both in the terms and of use to the viewer
-            self._finish(session, Refuse(ask.session))
+            self._refuse(session)
             return
         spare = cls.aim_us - 2 * int(self.setup_us)
         session.hold_until = min(self.now + min(HOLD_US, max(0, spare)), ask.deadline_us - LEAD_US)
@@ -368,7 +369,7 @@
             return
         last = session.ask.deadline_us - LEAD_US
         if session.attempt + 1 >= self.settings.max_attempts or self.now >= last:
-            self._finish(session, Refuse(event.session))
+            self._refuse(session)
         else:
             session.hold_until = min(max(session.hold_until, self.now + FULL_US), last)
             self._hold(session)
@@ -662,7 +663,7 @@
                 rack.see(asked / rack.kb, self.now)
         for session in list(self.held.values()):
             if not self._place(session, sizes, averages) and self.now >= session.hold_until:
-                self._finish(session, Refuse(session.ask.session))
+                self._refuse(session)
         if self.held and not self.polling:
             self.polling = True
             self.out.append(SetTimer(0, POLL_US))
@@ -781,6 +782,12 @@
         self.sessions.pop(session.ask.session, None)
         self.out.append(answer)
 
+    def _refuse(self, session: Session) -> None:
+        """Departure: a refusal says when to come back. Viewers told nothing come again at any time, and a
+        link that was full for the whole hold is seldom free at once. Harm: no worth while they stay away."""
+        gap_us = min(STAY_US, self.settings.max_retry_after_us) if self.settings.retry_after else 0
+        self._finish(session, Refuse(session.ask.session, gap_us))
+
     def _timer(self, delay_us: int, name: str) -> None:
         self.timers[self.next_timer] = name
         self.out.append(SetTimer(self.next_timer, max(0, delay_us)))
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -10,6 +10,7 @@
     ClassSettings,
     Ended,
     Note,
+    Refuse,
     SessionPlaying,
     SetRung,
     Started,
@@ -226,3 +227,11 @@
     before = made.sessions["a"].rung
     actions = made.handle(NOW + 50_000, [Started("a", 0, "s0"), Note("a", "s0", "link", 1.1)])
     assert of(actions, SetRung)[0].rung < before
+
+
+@pytest.mark.parametrize(("allowed", "most", "told"), [(True, 5 * SECOND, SECOND), (True, 300_000, 300_000), (False, SECOND, 0)])
+def test_a_refusal_says_when_to_come_back(allowed: bool, most: int, told: int) -> None:
+    made = controller(count=1, retry_after=allowed, max_retry_after_us=most)
+    answers = made.handle(NOW, [request("a", NOW, ceiling=0, home=3, copies=1)])
+    answers += made.handle(NOW + 5 * SECOND, [])
+    assert [each.retry_after_us for each in of(answers, Refuse)] == [told]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -146,7 +146,7 @@
     def test_a_title_nobody_holds_is_refused(self) -> None:
         self.play("""
             v1 send SETUP s1 home=3 left=800
-            v1 expect 453 s1 cseq=1
+            v1 expect 453 s1 cseq=1 gap=1000
         """)
 
     def test_a_set_up_sent_again_after_a_close_is_one_request(self) -> None:
