--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -223,6 +223,9 @@
 
     def received(self, connection: EdgeConnection, message: wire.Message) -> None:
         self.heard_s = self.pool.reactor.seconds()
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("edge says", extra={"edge": self.edge, "kind": message.kind, "session": message.session,
+                                          "parameters": str(dict(message.parameters))[:200]})
         item = wire.read(self.edge, message)
         if item is None:
             return
