Pass over malformed updates, release what stands at a planned end, fuzz the codecs

Guards found missing by reading: one malformed update stopped the feed for good, since the same index was asked for again; and sessions went on at their edge servers after a planned end. Each has a scenario.

--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -92,9 +92,11 @@
     pairs = dict(flatten(settings))
     known = told.get("known", {"index": 0, "updates": []})
     try:
-        index, changes = coordinator.read(known, 0)
+        answer = coordinator.read(known, 0)
     except ProtocolFault as fault:
         raise ConfigError(f"known: {fault}") from None
+    if answer.faults:
+        raise ConfigError(f"known: {answer.faults[0]}")
     try:
         dial_us = whole(pairs, "Limits.DialTimeoutUs", DEFAULT_DIAL_US)
         idle_us = whole(pairs, "Limits.ConnIdleUs", DEFAULT_IDLE_US)
@@ -107,8 +109,8 @@
             sockets=_number(limits, "limits.sockets", DEFAULT_SOCKETS, LEAST_SOCKETS),
             memory_mb=_number(limits, "limits.memory_mb", DEFAULT_MEMORY_MB, 1),
             coordinator_address="{}:{}".format(*_address(told, "coordinator")),
-            index=index,
-            changes=tuple(changes),
+            index=answer.last,
+            changes=tuple(answer.changes),
             settings=read_settings(pairs),
             period_us=max(1_000, whole(pairs, "PeriodUs", DEFAULT_PERIOD_US)),
             dial_us=dial_us or DEFAULT_DIAL_US,
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -87,7 +87,8 @@
         if self.loop.owes and self.reactor.seconds() < last_s:
             self.reactor.callLater(0.02, self._stop_when_done, last_s)
         else:
-            self.reactor.callLater(0.05, self.reactor.stop)  # answers just written leave first
+            self.loop.end()
+            self.reactor.callLater(0.1, self.reactor.stop)  # what was just written leaves first
 
     def _post(self, item: Any) -> None:
         self.loop.post(item)
--- a/lotuspick/protocol/coordinator.py
+++ b/lotuspick/protocol/coordinator.py
@@ -22,21 +22,38 @@
     addresses: dict[str, tuple[str, int]]
 
 
-def parse(text: bytes, after: int) -> tuple[int, list[Change]]:
-    """The last index and the changes of one answer that are later than ``after``."""
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One answer of the coordinator, or ``known``."""
+
+    last: int
+    changes: list[Change]
+    faults: list[str]
+    """What was wrong with the updates that had to be passed over."""
+
+
+def parse(text: bytes, after: int) -> Answer:
+    """The changes of one answer that are later than ``after``."""
     try:
         return read(json.loads(text), after)
     except (ValueError, RecursionError):
         raise ProtocolFault(f"answer is not JSON: {text[:40]!r}") from None
 
 
-def read(answer: Any, after: int) -> tuple[int, list[Change]]:
-    """The same for JSON that is parsed already."""
+def read(answer: Any, after: int) -> Answer:
+    """The same for JSON that is parsed already. Guards against one malformed update that would hold up the
+    feed for ever: it is passed over, and told."""
     if not isinstance(answer, dict):
         raise ProtocolFault("answer is not an object")
     last = _get(answer, "index", int)
-    changes = [change for update in _get(answer, "updates", list) for change in _change(update)]
-    return last, [change for change in changes if change.index > after]
+    changes: list[Change] = []
+    faults: list[str] = []
+    for update in _get(answer, "updates", list):
+        try:
+            changes.extend(change for change in _change(update) if change.index > after)
+        except ProtocolFault as fault:
+            faults.append(str(fault))
+    return Answer(last, changes, faults)
 
 
 def address(text: str) -> tuple[str, int]:
@@ -80,5 +97,5 @@
                            _get(server, "kind", str, ""), _get(server, "cell", int, 0), STATES[state],
                            float(_get(server, "weight", (int, float), 1)),
                            int(_get(server, "started_ms", (int, float), 0)) * 1_000)
-    except ValueError as error:
-        raise ProtocolFault(str(error)) from None
+    except (ValueError, OverflowError) as error:
+        raise ProtocolFault(f"started_ms or weight: {error}") from None
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -159,6 +159,15 @@
         self.timers += 1
         heapq.heappush(self.due, (at_us, self.timers, then))
 
+    def end(self) -> None:
+        """The broker ends, and with it what it holds: guards against sessions that go on at their edge
+        servers for nobody, and viewers that watch nothing."""
+        now = self.clock()
+        for session, entry in list(self.table.items()):
+            if entry.stands:
+                self.edges.release(entry.edge, session, Ending.STOPPED)
+                self._over(session, entry, Ending.STOPPED, now)
+
     # ---- from viewers -------------------------------------------------------------------------------------
 
     def _asked(self, item: Asked, now: int) -> list[Event]:
--- a/lotuspick/transport/coordinator.py
+++ b/lotuspick/transport/coordinator.py
@@ -46,10 +46,12 @@
         return read_body(response)
 
     def _read(self, body: bytes) -> None:
-        last, changes = wire.parse(body, self.index)
-        for change in changes:
+        answer = wire.parse(body, self.index)
+        for fault in answer.faults:
+            log.error("malformed update passed over", extra={"fault": fault})
+        for change in answer.changes:
             self.tell(change)
-        self.index = max(self.index, last)
+        self.index = max(self.index, answer.last)
         if self.failing:
             log.info("coordinator answers again", extra={"index": self.index})
             self.failing = False
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -425,7 +425,7 @@
 
     def entry(self, label: str, state: str, address: str) -> dict[str, Any]:
         return {"id": f"s-{label}", "addr": self.actors[address].address, "zone": "a", "kind": "box",
-                "cell": int(label[1:]) % 4, "state": STATES[state], "weight": 1, "started_ms": 0}
+                "cell": int(label[1:]) % 4, "state": STATES.get(state, state), "weight": 1, "started_ms": 0}
 
     def actor(self, label: str) -> Any:
         if label not in self.actors:
--- /dev/null
+++ b/tests/test_codecs.py
@@ -0,0 +1,167 @@
+"""Codecs under any input: they give a message or a fault that names what is wrong, and keep their bounds."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotuspick.protocol import cmcd, cmsd, coordinator, edge, nodes, rtsp
+from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
+from lotuspick.routing.endings import NEVER_RAN, OUTCOMES, Ending
+from lotuspick.routing.ports import EdgeAnswered, EdgeNoted, EdgeReleased, SetUp
+
+ID = "9b1f03aa5c7e2d41"
+CLASSES = frozenset({"paid"})
+HEAD = [b"SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0", b"CSeq: 1", f"Session: {ID}".encode(), b"P-Kind: paid",
+        b"P-Time-Left: 1500", b"X-Length: 8200.0", b"P-Path: home:4;copies:3;top:4;viewer:00000000b4d65521;again:1",
+        b"Content-Length: 3", b""]
+
+
+def decode(lines: list[bytes], body: bytes) -> rtsp.Message | None:
+    decoder = rtsp.Decoder()
+    lengths = [decoder.line(line) for line in lines]
+    return decoder.body(body) if lengths[-1] is not None else None
+
+
+class Rtsp(unittest.TestCase):
+    def test_a_set_up(self) -> None:
+        message = decode(HEAD, b"abc")
+        assert message is not None
+        asked = rtsp.read_set_up(message, 1_000_000, CLASSES)
+        request = asked.request
+        self.assertEqual((request.session, request.cls, request.title), (ID, "paid", "7f3a9c21e0b4d655"))
+        self.assertEqual((request.home, request.copies, request.ceiling), (4, 3, 4))
+        self.assertEqual((request.deadline_us, request.length_us), (2_500_000, 8_200_000.0))
+        self.assertTrue(request.returned)
+        self.assertEqual(asked.description, b"abc")
+
+    def test_each_bad_field_is_named(self) -> None:
+        for good, bad, fault in ((b"Session: " + ID.encode(), b"Session: 12", "Session"),
+                                 (b"P-Time-Left: 1500", b"P-Time-Left: -1", "P-Time-Left"),
+                                 (b"P-Kind: paid", b"P-Kind: free", "P-Kind"),
+                                 (b"home:4;", b"home:x;", "home"), (b"copies:3;", b"", "copies"),
+                                 (b"top:4;", b"top;", "P-Path"), (b"P-Kind: paid", b"P-Kinds: paid", "P-Kind"),
+                                 (b"media/7f3a9c21e0b4d655", b"media/", "title")):
+            lines = [line.replace(good, bad) for line in HEAD]
+            with self.subTest(bad), self.assertRaisesRegex(ProtocolFault, fault):
+                message = decode(lines, b"abc")
+                assert message is not None
+                rtsp.read_set_up(message, 0, CLASSES)
+
+    def test_a_hint_that_makes_no_sense_is_none(self) -> None:
+        for text in (b"nan", b"-1", b"long", b"inf", b"0"):
+            message = decode([line.replace(b"8200.0", text) for line in HEAD], b"abc")
+            assert message is not None
+            self.assertIsNone(rtsp.read_set_up(message, 0, CLASSES).request.length_us)
+
+    def test_the_bound_holds_for_heads_and_bodies(self) -> None:
+        for lines in ([HEAD[0], *(b"h%d: %s" % (n, b"x" * 1_000) for n in range(20))],
+                      [*HEAD[:7], b"Content-Length: %d" % MOST_BYTES, b""],
+                      [HEAD[0], *(b"h%d: x" % n for n in range(200))]):
+            with self.assertRaises(ProtocolFault):
+                decode(lines, b"")
+
+    @given(st.lists(st.one_of(st.sampled_from(HEAD), st.binary(max_size=60))))
+    def test_any_lines(self, lines: list[bytes]) -> None:
+        decoder = rtsp.Decoder()
+        try:
+            for line in lines:
+                length = decoder.line(line)
+                if length is not None:
+                    rtsp.read_set_up(decoder.body(b"x" * length), 0, CLASSES)
+        except ProtocolFault as fault:
+            self.assertTrue(str(fault))
+
+    def test_phrases_cannot_break_the_head(self) -> None:
+        text = rtsp.response(400, "1", ID, why="a\r\nSession: other\x00\u20ac")
+        self.assertEqual(text.count(b"\r\n"), 5)
+        self.assertTrue(text.startswith(b"RTSP/1.0 400 a Session: other"))
+
+
+class Edge(unittest.TestCase):
+    def test_set_up_and_back(self) -> None:
+        message = edge.decode(edge.set_up(SetUp(ID, "paid", "t", 2, 1_500, b"a\r\n")))
+        self.assertEqual((message.kind, message.session), (1, ID))
+        self.assertEqual(dict(message.parameters),
+                         {100: b"paid", 102: b"1500", 108: b"t", 122: b"2", 130: b"a\r\n"})
+
+    def test_what_messages_tell(self) -> None:
+        report = {118: b"outstanding:44.4;x0:0.838;queue:3;x1:nan"}
+        told = {"streams": 44.4, "link": 0.838}
+        for kind, parameters, item in (
+                (9, {130: b"d"}, EdgeAnswered("e", ID, b"d")),
+                (12, {128: b"\x22", **report}, EdgeReleased("e", ID, Ending.TURNED_AWAY, Ending.CUT, told)),
+                (12, {128: b"\x10"}, EdgeReleased("e", ID, Ending.BROKEN, Ending.FINISHED)),
+                (12, {128: b"\x1f"}, EdgeReleased("e", ID, Ending.BROKEN, Ending.REVOKED)),
+                (12, {128: b"\x66"}, EdgeReleased("e", ID, Ending.MOOT, Ending.CUT)),
+                (44, {114: b"nic", 124: b"0.5"}, EdgeNoted("e", ID, "link", 0.5)),
+                (44, {114: b"nic", 124: b"x"}, None), (44, {114: b"new", 124: b"1"}, None), (6, {}, None)):
+            with self.subTest(kind=kind, parameters=parameters):
+                self.assertEqual(edge.read("e", edge.decode(edge.encode(kind, ID, parameters))), item)
+
+    @given(st.binary(max_size=80))
+    def test_any_bytes(self, frame: bytes) -> None:
+        try:
+            edge.read("e", edge.decode(frame))
+        except ProtocolFault as fault:
+            self.assertTrue(str(fault))
+
+
+class Json(unittest.TestCase):
+    SERVER = {"id": "s-1", "addr": "127.0.0.1:1", "zone": "z", "kind": "k", "cell": 2, "state": "in_service",
+              "weight": 4, "started_ms": 5}
+
+    def answer(self, *servers: object) -> bytes:
+        updates = [{"index": 1 + each, "endpoints": {"full": False, "servers": [server]}}
+                   for each, server in enumerate(servers)]
+        return json.dumps({"index": len(servers), "updates": updates}).encode()
+
+    def test_changes_after_an_index(self) -> None:
+        answer = coordinator.parse(self.answer(self.SERVER, {**self.SERVER, "state": "terminated"}), 1)
+        self.assertEqual((answer.last, answer.faults, len(answer.changes)), (2, [], 1))
+        entry = answer.changes[0].news.servers[0]
+        self.assertEqual((entry.server, entry.state, entry.cell, entry.started_us), ("s-1", "gone", 2, 5_000))
+        self.assertEqual(answer.changes[0].addresses, {"s-1": ("127.0.0.1", 1)})
+
+    def test_a_bad_update_is_named_and_passed_over(self) -> None:
+        for key, value in (("state", "odd"), ("addr", "nowhere"), ("cell", "x"), ("id", None), ("weight", True),
+                           ("started_ms", float("inf"))):
+            answer = coordinator.parse(self.answer({**self.SERVER, key: value}, self.SERVER), 0)
+            with self.subTest(key):
+                self.assertEqual(len(answer.changes), 1)
+                self.assertIn({"addr": "address"}.get(key, key), answer.faults[0])
+
+    @given(st.recursive(st.none() | st.booleans() | st.floats() | st.text(max_size=8) | st.sampled_from(
+        ["index", "updates", "events", "session", ID]), lambda inner: st.lists(inner, max_size=3) | st.dictionaries(
+            st.sampled_from(["index", "updates", "endpoints", "servers", "events", "over", "session"]), inner)))
+    def test_any_json(self, told: object) -> None:
+        for read in (lambda text: coordinator.parse(text, 0), lambda text: nodes.events("n", text)):
+            try:
+                read(json.dumps(told).encode())
+            except ProtocolFault as fault:
+                self.assertTrue(str(fault))
+
+
+class Hints(unittest.TestCase):
+    @given(st.text(max_size=40) | st.from_regex(r'(br|bl|bs|mtp|cid|ot)=?[0-9a-z"?.(]{0,6}(,[a-z]{1,3})?', fullmatch=True))
+    def test_any_text(self, text: str) -> None:
+        for read in (lambda: cmcd.read({}, text), lambda: cmsd.hint("n", {cmsd.DYNAMIC: text, cmsd.STATIC: text})):
+            try:
+                read()
+            except ProtocolFault as fault:
+                self.assertTrue(str(fault))
+
+
+class Endings(unittest.TestCase):
+    def test_every_ending_has_an_outcome_and_only_proof_counts_as_proof(self) -> None:
+        self.assertEqual(set(OUTCOMES), set(Ending))
+        proofs = {ending.name for ending, outcome in OUTCOMES.items() if outcome in NEVER_RAN}
+        self.assertEqual(proofs, {"DIAL_REFUSED", "DIAL_TIMEOUT", "DIAL_FAILED", "NO_ADDRESS", "QUEUE_FULL", "UNSENT",
+                                  "TURNED_AWAY", "MOOT"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -194,6 +194,15 @@
             v1 expect 453 s2
         """)
 
+    def test_a_malformed_update_does_not_hold_up_the_feed(self) -> None:
+        self.play("""
+            c send e0 state=nonsense
+            c send e0 state=draining
+            c wait 0.5
+            v1 send SETUP s1 left=700
+            v1 expect 453 s1
+        """)
+
     def test_a_quiet_coordinator_is_asked_again_with_the_last_index(self) -> None:
         self.play("""
             c close quiet
@@ -257,6 +266,14 @@
             b expect EXIT code=0
         """)
 
+    def test_sessions_that_stand_are_released_on_both_sides_at_the_end(self) -> None:
+        self.play(PLAYING + """
+            b send TERM
+            v1 expect TEARDOWN s1 why=cause=41
+            e0 expect RELEASE s1 cause=31
+            b expect EXIT code=0
+        """)
+
     def test_sigterm_with_nothing_owed(self) -> None:
         self.play("""
             b send TERM
