--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -18,7 +18,7 @@
 from lotuspick.interface import (Action, ClassSettings, Ended, Event, Fail, Log, Note, Refuse, Send,
                                 PlayerHint, ServerEntry, ServerHint, ServerList, SessionPlaying,
                                 SessionRequest, SetRung, SetTimer, Settings, Started, Subscribe,
-                                TimerFired, ViewerGone)
+                                TenantRates, TimerFired, ViewerGone)
 
 # Every tuned constant, with its unit and reason.
 CUTS_US = (80_000_000, 160_000_000)  # us: cuts between the length pools (design)
@@ -65,6 +65,7 @@
 HINT_SOURCES = 4_096  # sources whose trust is kept; the one longest unheard goes first
 TRUST_RISE, TRUST_FALL = 0.25, 0.5  # of 1, from 0: added where a reading agrees, kept where it does not
 FULL_BUFFER_S = 2.0  # s: a player with so much buffered, and not starved, is not short
+TENANT_US = 5_000_000  # us: a tenant's requests are counted over so long: short bursts are no excess
 SPREAD = 0.15  # share of a link: random part in the choice among holders, so gateways do not move as one
 
 NEVER = 1 << 62
@@ -174,6 +175,7 @@
     ends_us: float = math.inf  # when it should end, by its hint
     tried: list[str] = field(default_factory=list)
     hold_until: int = 0
+    over_share: bool = False  # asked for past its tenant's rate
     ended: bool = False  # answered; only its attempt's outcome is still awaited
 
 
@@ -201,6 +203,8 @@
         self.hint_us = [0.0] * POOLS
         self.taken, self.extra = deque[int](), deque[int]()  # requests and further attempts, for the budget
         self.trust: dict[str, float] = {}  # of each source of hints that was judged
+        self.tenant_rates = dict(settings.tenant_rates)
+        self.asked: dict[str, deque[int]] = {}  # lately, by tenant
         self.timers: dict[int, str] = {}
         self.next_timer = 1
         self.polling = False
@@ -292,6 +296,7 @@
             self.window.append((self.now, session.pool, hint))
         if self.settings.budget_ratio is not None:
             self.taken.append(self.now)
+        session.over_share = self._over_share(ask.tenant)
         self.sessions[ask.session] = session
         if ask.ceiling < cls.floor:  # no rung is both in the terms and of use to the viewer
             self._refuse(session)
@@ -602,9 +607,27 @@
         return [us / total if count else 0.0 for us, count in zip(self.hint_us, self.hint_count)]
 
     def _top(self, session: Session) -> int:
+        if session.over_share:
+            return session.cls.floor
         return max(session.cls.floor,
                    min(session.ask.ceiling, session.cls.top, len(self.settings.ladder_kb) - 1))
 
+    def _on_tenants(self, event: TenantRates) -> None:
+        self.tenant_rates = dict(event.rates)
+        self.asked = {tenant: times for tenant, times in self.asked.items() if tenant in event.rates}
+
+    def _over_share(self, tenant: str) -> bool:
+        """Departure: what a tenant asks past this gateway's part of its rate is worth little, so it plays at
+        the lowest rung of its terms. Where there are no tenants, nobody is past anything."""
+        rate = self.tenant_rates.get(tenant, 0.0)
+        if not self.tenant_rates or not rate:
+            return bool(self.tenant_rates)
+        times = self.asked.setdefault(tenant, deque())
+        times.append(self.now)
+        while times[0] <= self.now - TENANT_US:
+            times.popleft()
+        return len(times) > max(1.0, rate / self.settings.gateways * TENANT_US / 1e6)
+
     def _steps(self, cls: ClassSettings) -> list[float]:
         """For each rung, how much worth a kB its step brings: 0 for the least of all, 1 for the most."""
         bids = sorted(self._bid(each, rung - 1, rung) for each in self.settings.classes
@@ -805,6 +828,6 @@
 HANDLERS: dict[type, Callable[[Controller, Any], None]] = {
     ServerList: Controller._on_list, SessionRequest: Controller._on_request,
     SessionPlaying: Controller._on_playing, Started: Controller._on_started, Ended: Controller._on_ended,
-    PlayerHint: Controller._on_player_hint, ServerHint: Controller._on_server_hint,
-    Note: Controller._on_note, ViewerGone: Controller._on_gone, TimerFired: Controller._on_timer,
+    Note: Controller._on_note, PlayerHint: Controller._on_player_hint, ServerHint: Controller._on_server_hint,
+    TenantRates: Controller._on_tenants, ViewerGone: Controller._on_gone, TimerFired: Controller._on_timer,
 }
--- a/lotuspick/interface.py
+++ b/lotuspick/interface.py
@@ -296,6 +296,17 @@
         _from_zero(f"hint of {self.server}", throughput_kb=self.throughput_kb)
 
 
+@dataclass(frozen=True, slots=True)
+class TenantRates:
+    """The tenants as their directory has them now: requests a second of each, over all gateways."""
+
+    rates: Mapping[str, float]
+
+    def __post_init__(self) -> None:
+        for tenant, rate in self.rates.items():
+            _from_zero("tenants", **{tenant: rate})
+
+
 @dataclass(frozen=True, slots=True)
 class ViewerGone:
     """The viewer left before an answer; nothing more is owed."""
@@ -310,8 +321,8 @@
     token: int
 
 
-Event = (ServerList | SessionRequest | Started | Ended | Note | PlayerHint | ServerHint | ViewerGone
-         | TimerFired)
+Event = (ServerList | SessionRequest | Started | Ended | Note | PlayerHint | ServerHint | TenantRates
+         | ViewerGone | TimerFired)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lotuspick/plugin.py
@@ -0,0 +1,227 @@
+"""lotuspick inside a client: the decisions and the loop as a plug-in for an RPC library, without any wire.
+
+The RPC library keeps its own connections. It implements :class:`Calls`, which starts and cancels calls, and
+tells the plug-in what it sees; the plug-in picks servers and rungs, and owes each request one answer:
+
+    plugin = Plugin(settings, seed=7, calls=calls)
+    plugin.servers(ServerList([...], complete=True))
+    plugin.ask(request, on_answer)             # one Served, Refused or Failed, later Released after a Served
+    plugin.answered(server, session, payload)  # the call that Calls.start began has an answer
+    plugin.ended(server, session, Ending.RESET)
+    threading.Thread(target=plugin.run).start()
+
+Methods may be called from any thread; ``on_answer`` and ``Calls`` are called from the thread of ``run`` (or
+of ``step``, where the library has a loop of its own) and must not block.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from lotuspick.control import Controller
+from lotuspick.interface import PlayerHint, ServerHint, ServerList, SessionRequest, Settings
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.loop import Loop
+from lotuspick.routing.ports import (
+    Asked,
+    Dropped,
+    EdgeAnswered,
+    EdgeDown,
+    EdgeNoted,
+    EdgeReleased,
+    Hinted,
+    Inbound,
+    Roster,
+    SetUp,
+)
+
+__all__ = ["Calls", "Ending", "Failed", "Plugin", "Refused", "Released", "Served", "SetUp"]
+
+PERIOD_US = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """The session stands at a server; ``payload`` is what that server answered."""
+
+    session: str
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """To ask again is harmless, after ``gap_ms`` where above 0."""
+
+    session: str
+    gap_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """No promise about the effect."""
+
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """A session that stood is over."""
+
+    session: str
+    ending: Ending
+
+
+Answer = Served | Refused | Failed | Released
+
+
+class Calls(Protocol):
+    """What the RPC library does for the plug-in. A call that cannot be started is reported with ``ended``."""
+
+    def start(self, server: str, ask: SetUp) -> None:
+        """Begin the call that sets a session up, with the payload of the request as its description."""
+
+    def cancel(self, server: str, session: str) -> bool:
+        """Cancel it. True only where it provably never left this process."""
+
+    def release(self, server: str, session: str) -> None:
+        """End a session that stands."""
+
+    def set_rung(self, server: str, session: str, rung: int) -> None:
+        """Change the rung of a session that stands."""
+
+
+class _Edges:
+    """The loop's view of :class:`Calls`."""
+
+    def __init__(self, calls: Calls) -> None:
+        self.calls = calls
+
+    def set_up(self, edge: str, ask: SetUp) -> Ending | None:
+        self.calls.start(edge, ask)
+        return None
+
+    def give_up(self, edge: str, session: str) -> bool:
+        return self.calls.cancel(edge, session)
+
+    def release(self, edge: str, session: str, ending: Ending) -> None:
+        self.calls.release(edge, session)
+
+    def set_rung(self, edge: str, session: str, rung: int) -> None:
+        self.calls.set_rung(edge, session, rung)
+
+    def watch(self, edge: str) -> None:
+        pass
+
+
+class _Asker:
+    """The loop's view of whoever asked: never gone, since it is in this process."""
+
+    open = True
+
+    def __init__(self, tell: Callable[[Answer], None]) -> None:
+        self.tell = tell
+
+    def served(self, session: str, description: bytes) -> None:
+        self.tell(Served(session, description))
+
+    def refused(self, session: str, gap_ms: int) -> None:
+        self.tell(Refused(session, gap_ms))
+
+    def failed(self, session: str, why: str = "") -> None:
+        self.tell(Failed(session))
+
+    def released(self, session: str, ending: Ending) -> None:
+        self.tell(Released(session, ending))
+
+
+def unix_us() -> int:
+    """The system's clock, whole microseconds; deadlines of requests are on it."""
+    return time.time_ns() // 1_000
+
+
+class Plugin:
+    """One client's decisions. Sessions are named by the caller; a name is not used again."""
+
+    def __init__(self, settings: Settings, seed: int, calls: Calls, clock: Callable[[], int] = unix_us,
+                 period_us: int = PERIOD_US) -> None:
+        self.clock = clock
+        self.loop = Loop(Controller(settings, seed), _Edges(calls), clock, self._wake, period_us,
+                         frozenset(each.name for each in settings.classes))
+        self._due_us: int | None = None
+        self._changed = threading.Condition()
+        self._closed = False
+
+    # ---- what the RPC library tells -----------------------------------------------------------------------
+
+    def servers(self, news: ServerList) -> None:
+        """The server list, or a change of it."""
+        self._post(Roster(news))
+
+    def ask(self, request: SessionRequest, on_answer: Callable[[Answer], None], payload: bytes = b"") -> None:
+        """Ask for a session; its deadline is on this plug-in's clock."""
+        self._post(Asked(request, payload, _Asker(on_answer)))
+
+    def drop(self, session: str) -> None:
+        """Nobody wants the session any more, whether it stands or not."""
+        self._post(Dropped(session))
+
+    def answered(self, server: str, session: str, payload: bytes = b"") -> None:
+        """The call has an answer: the session stands."""
+        self._post(EdgeAnswered(server, session, payload))
+
+    def ended(self, server: str, session: str, ending: Ending,
+              report: Mapping[str, float] | None = None) -> None:
+        """A call ended without an answer, or a session that stood is over."""
+        self._post(EdgeReleased(server, session, ending, ending, report or {}))
+
+    def lost(self, server: str, ending: Ending = Ending.RESET) -> None:
+        """A server is gone, and all that stood there with it."""
+        self._post(EdgeDown(server, ending))
+
+    def noted(self, server: str, session: str, topic: str, value: float) -> None:
+        """A note on a session that stands: ``share``, ``rung``, ``link`` or ``rack``."""
+        self._post(EdgeNoted(server, session, topic, value))
+
+    def hinted(self, hint: PlayerHint | ServerHint) -> None:
+        """A hint, weighed by the trust that its source has earned."""
+        self._post(Hinted(hint))
+
+    # ---- running ------------------------------------------------------------------------------------------
+
+    def step(self) -> float | None:
+        """Do what is due. Returns the seconds until more will be, or None where nothing is planned."""
+        with self._changed:
+            due, now = self._due_us, self.clock()
+            if due is not None and due <= now:
+                self._due_us = None
+                self.loop.tick()
+                due = self._due_us
+            return None if due is None else max(0.0, (due - self.clock()) / 1e6)
+
+    def run(self) -> None:
+        """Step until ``close``."""
+        while not self._closed:
+            wait_s = self.step()
+            with self._changed:
+                if not self._closed and (self._due_us is None or self._due_us > self.clock()):
+                    self._changed.wait(wait_s)
+
+    def close(self) -> None:
+        """Release what stands, and let ``run`` return."""
+        with self._changed:
+            self.loop.end()
+            self._closed = True
+            self._changed.notify_all()
+
+    def _post(self, item: Inbound) -> None:
+        with self._changed:
+            self.loop.post(item)
+
+    def _wake(self, at_us: int) -> None:
+        with self._changed:
+            self._due_us = at_us if self._due_us is None else min(self._due_us, at_us)
+            self._changed.notify_all()
--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -1,7 +1,8 @@
 """The one place where configuration is read, checked and given defaults.
 
-A broker is told what it is by the JSON file that ``PROXY_CONFIG`` names; the second front is switched on by a
-file of the operators' own, ``deploy/hints.toml``. Each message names the key at fault.
+A broker is told what it is by the JSON file that ``PROXY_CONFIG`` names. Two files of the operators' own
+switch on what is off else: ``deploy/hints.toml`` the second front, ``deploy/tenants.toml`` the directory of
+tenants. Each message names the key at fault.
 """
 
 from __future__ import annotations
@@ -17,8 +18,10 @@
 from lotuspick.protocol import coordinator
 from lotuspick.protocol.faults import ProtocolFault
 from lotuspick.settings import WireError, read_settings, whole
+from lotuspick.transport.directory import LdapConfig
 
 DEFAULT_HINTS = Path("deploy/hints.toml")
+DEFAULT_TENANTS = Path("deploy/tenants.toml")
 DEFAULT_MEMORY_MB, DEFAULT_SOCKETS = 192, 1_024
 LEAST_SOCKETS = 64
 DEFAULT_PERIOD_US = 10_000
@@ -43,6 +46,15 @@
     """Addresses of the media nodes that speak HTTP, by id; all others speak the platform's protocol."""
 
 
+@dataclass(frozen=True, slots=True)
+class TenantsConfig:
+    """The directory of tenants."""
+
+    ldap: LdapConfig | None = None
+    """None: there are no tenants."""
+    refresh_s: float = 60.0
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -61,9 +73,11 @@
     silence_us: int
     streams_per_connection: int
     hints: HintsConfig
+    tenants: TenantsConfig
 
 
-def load(environment: Mapping[str, str], path: Path | None = None, hints: Path | None = None) -> Config:
+def load(environment: Mapping[str, str], path: Path | None = None, hints: Path | None = None,
+         tenants: Path | None = None) -> Config:
     """Read all of it: the file at ``path``, or that of ``PROXY_CONFIG``; the environment wins over both."""
     named = str(path or environment.get("PROXY_CONFIG", ""))
     if not named:
@@ -81,12 +95,13 @@
         if environment.get(variable):
             told[key] = environment[variable]
     try:
-        return read(told, read_hints(hints))
+        return read(told, read_hints(hints), read_tenants(tenants))
     except ConfigError as error:
         raise ConfigError(f"{named}: {error}") from None
 
 
-def read(told: Mapping[str, Any], hints: HintsConfig | None = None) -> Config:
+def read(told: Mapping[str, Any], hints: HintsConfig | None = None,
+         tenants: TenantsConfig | None = None) -> Config:
     """Check the parsed object and give defaults."""
     settings = _get(told, "settings", dict)
     pairs = dict(flatten(settings))
@@ -118,6 +133,7 @@
             silence_us=max(SILENCE_US, tell_us + seen_us),
             streams_per_connection=max(1, whole(pairs, "Limits.StreamsPerConn", DEFAULT_STREAMS)),
             hints=hints or HintsConfig(),
+            tenants=tenants or TenantsConfig(),
         )
     except WireError as error:
         raise ConfigError(f"settings: {error}") from None
@@ -127,33 +143,59 @@
 
 def read_hints(path: Path | None = None) -> HintsConfig:
     """The second front's file; without one it is off."""
-    if path is None:
-        path = DEFAULT_HINTS
-        if not path.exists():
-            return HintsConfig()
-    try:
-        told = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path}: not TOML: {error}") from None
-    unknown = sorted(set(told) - {"enabled", "listen", "nodes"})
-    if unknown:
-        raise ConfigError(f"{path}: {unknown[0]} is not a key of this file")
+    told = _toml(path, DEFAULT_HINTS, {"enabled", "listen", "nodes"})
     try:
         enabled = _get(told, "enabled", bool, False)
         host, port = _address(told, "listen") if "listen" in told else ("127.0.0.1", 0)
         nodes = _get(told, "nodes", dict, {})
         for name in nodes:
+            _address(nodes, name)
+        if enabled and not host.startswith("127.") and host != "localhost":
+            raise ConfigError(f"listen must be a loopback address, not {host}")
+    except ConfigError as error:
+        raise ConfigError(f"{path or DEFAULT_HINTS}: {error}") from None
+    return HintsConfig(enabled, host, port, nodes)
+
+
+def read_tenants(path: Path | None = None) -> TenantsConfig:
+    """The directory's file; without one there are no tenants."""
+    texts = {"url", "base", "filter", "name_attribute", "rate_attribute", "bind_dn"}
+    told = _toml(path, DEFAULT_TENANTS, texts | {"enabled", "password_file", "refresh_s"})
+    path = path or DEFAULT_TENANTS
+    try:
+        if not _get(told, "enabled", bool, False):
+            return TenantsConfig()
+        for key in ("url", "base"):
+            _get(told, key, str)
+        given = {key: _get(told, key, str) for key in texts if key in told}
+        if not given["url"].startswith(("ldap://", "ldaps://")):
+            raise ConfigError(f"url must start with ldap:// or ldaps://, not {given['url'][:40]!r}")
+        if "password_file" in told:
             try:
-                _address(nodes, name)
-            except ConfigError as error:
-                raise ConfigError(f"nodes: {error}") from None
+                secret = path.parent / _get(told, "password_file", str)
+                given["password"] = secret.read_text(encoding="utf-8").strip()
+            except OSError as error:
+                raise ConfigError(f"password_file: {error.strerror}") from None
+        return TenantsConfig(LdapConfig(**given), _number(told, "refresh_s", 60, 1))
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
-    if enabled and not host.startswith("127.") and host != "localhost":
-        raise ConfigError(f"{path}: listen must be a loopback address, not {host}")
-    return HintsConfig(enabled, host, port, nodes)
+
+
+def _toml(path: Path | None, default: Path, keys: set[str]) -> dict[str, Any]:
+    """A file of the operators' own; the default one need not exist."""
+    if path is None and not default.exists():
+        return {}
+    path = path or default
+    try:
+        told = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not TOML: {error}") from None
+    unknown = sorted(set(told) - keys)
+    if unknown:
+        raise ConfigError(f"{path}: {unknown[0]} is not a key of this file")
+    return told
 
 
 def flatten(value: Any, at: str = "") -> Iterator[tuple[str, str]]:
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -8,14 +8,17 @@
 import signal
 from typing import Any
 
+from twisted.internet.threads import deferToThread
+
 from lotuspick.control import Controller
-from lotuspick.interface import ServerList
+from lotuspick.interface import ServerList, TenantRates
 from lotuspick.program.config import Config
 from lotuspick.protocol.coordinator import Change
 from lotuspick.routing.loop import Loop
-from lotuspick.routing.ports import Roster
+from lotuspick.routing.ports import Directory, Roster, Tenants
 from lotuspick.transport.base import Reactor, now_us
 from lotuspick.transport.coordinator import Feed
+from lotuspick.transport.directory import LdapDirectory
 from lotuspick.transport.edges import EdgeLimits, EdgePool
 from lotuspick.transport.hints import HintsFront
 from lotuspick.transport.nodes import NodePool, Switch
@@ -49,6 +52,8 @@
                                self._in_use)
         self.hints = HintsFront(reactor, self._post, self._ready, classes)
         self.feed = Feed(reactor, config.coordinator_address, config.index, self._changed)
+        ldap = config.tenants.ldap
+        self.directory: Directory | None = LdapDirectory(ldap) if ldap is not None else None
         self.stopping = False
         self._call: Any = None
 
@@ -68,6 +73,7 @@
             signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
         self.edges.start()
         self.feed.poll()
+        self._read_tenants()
         gc.collect()
         gc.freeze()  # what is here now stays: collections need not look at it
         log.info("serving", extra={"broker": self.config.name, "listen": f"{host}:{port}",
@@ -90,6 +96,15 @@
             self.loop.end()
             self.reactor.callLater(0.1, self.reactor.stop)  # what was just written leaves first
 
+    def _read_tenants(self) -> None:
+        """Read the directory on a thread, again and again; while it is away the last reading stands."""
+        if self.directory is None:
+            return
+        done = deferToThread(self.directory.rates)
+        done.addCallback(lambda rates: self._post(Tenants(TenantRates(rates))))
+        done.addErrback(lambda reason: log.warning("no tenants", extra={"fault": reason.getErrorMessage()}))
+        done.addBoth(lambda _: self.reactor.callLater(self.config.tenants.refresh_s, self._read_tenants))
+
     def _post(self, item: Any) -> None:
         self.loop.post(item)
 
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -46,6 +46,7 @@
     Inbound,
     Roster,
     SetUp,
+    Tenants,
     Viewer,
     ViewerCame,
     ViewerLost,
@@ -99,6 +100,7 @@
             ViewerCame: self._viewer_came, EdgeAnswered: self._answered, EdgeReleased: self._edge_released,
             EdgeNoted: self._noted, AttemptOver: self._attempt_over, EdgeDown: self._edge_down,
             Roster: lambda item, now: [item.news], Hinted: lambda item, now: [item.hint],
+            Tenants: lambda item, now: [item.news],
         }
 
     # ---- inbox and tick -----------------------------------------------------------------------------------
--- a/lotuspick/routing/ports.py
+++ b/lotuspick/routing/ports.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from lotuspick.interface import PlayerHint, ServerHint, ServerList, SessionRequest
+from lotuspick.interface import PlayerHint, ServerHint, ServerList, SessionRequest, TenantRates
 from lotuspick.routing.endings import Ending
 
 
@@ -65,6 +65,17 @@
         """Sessions stand there: see to an open connection."""
 
 
+class Directory(Protocol):
+    """Where the tenants are kept."""
+
+    def rates(self) -> dict[str, float]:
+        """Requests a second of each tenant; raises :class:`DirectoryFault`. May block."""
+
+
+class DirectoryFault(Exception):
+    """The directory cannot be read; the text says why."""
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """A viewer's set-up; ``request`` is a ``SessionPlaying`` where the session plays already."""
@@ -157,5 +168,12 @@
     hint: PlayerHint | ServerHint
 
 
+@dataclass(frozen=True, slots=True)
+class Tenants:
+    """The tenants, as just read from their directory."""
+
+    news: TenantRates
+
+
 Inbound = (Asked | Dropped | ViewerLost | ViewerCame | EdgeAnswered | EdgeReleased | EdgeNoted | AttemptOver
-           | EdgeDown | Roster | Hinted)
+           | EdgeDown | Roster | Hinted | Tenants)
--- /dev/null
+++ b/tests/test_plugin.py
@@ -0,0 +1,143 @@
+"""The plug-in: decisions and loop inside a client, with a stand-in for the RPC library and a clock of the test's."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import threading
+import unittest
+from typing import Any
+
+from helpers import SECOND, entry, request, settings
+
+from lotuspick.interface import ClassSettings, ServerHint, ServerList
+from lotuspick.plugin import Answer, Ending, Failed, Plugin, Refused, Released, Served, SetUp
+
+CLASSES = [ClassSettings("clip", SECOND), ClassSettings("exam", SECOND, effect="paid")]
+
+
+class Library:
+    """Keeps what the plug-in asks of it."""
+
+    def __init__(self) -> None:
+        self.did: list[tuple[Any, ...]] = []
+        self.queued = False
+
+    def start(self, server: str, ask: SetUp) -> None:
+        self.did.append(("start", server, ask.session, ask.description))
+
+    def cancel(self, server: str, session: str) -> bool:
+        self.did.append(("cancel", server, session))
+        return self.queued
+
+    def release(self, server: str, session: str) -> None:
+        self.did.append(("release", server, session))
+
+    def set_rung(self, server: str, session: str, rung: int) -> None:
+        self.did.append(("rung", server, session, rung))
+
+
+class Plugged(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 20 * SECOND
+        self.library, self.answers = Library(), list[Answer]()
+        self.plugin = Plugin(settings(classes=CLASSES, retry_after=True, max_retry_after_us=SECOND), 7, self.library,
+                             clock=lambda: self.now)
+        self.plugin.servers(ServerList([entry(0), entry(1)], complete=True))
+
+    def ask(self, session: str, **changes: Any) -> None:
+        self.plugin.ask(request(session, self.now, **{"copies": 2, **changes}), self.answers.append, b"call")
+
+    def run_for(self, us: int) -> None:
+        end = self.now + us
+        while (wait_s := self.plugin.step()) is not None and self.now + int(wait_s * 1e6) <= end:
+            self.now += max(1, int(wait_s * 1e6))
+        self.now = end
+
+    def test_a_session_from_ask_to_release(self) -> None:
+        self.ask("a")
+        self.run_for(SECOND // 10)
+        [(what, server, session, payload)] = self.library.did
+        self.assertEqual((what, session, payload), ("start", "a", b"call"))
+        self.plugin.answered(server, "a", b"reply")
+        self.run_for(SECOND // 10)
+        self.plugin.ended(server, "a", Ending.FINISHED)
+        self.run_for(SECOND // 10)
+        self.assertEqual(self.answers, [Served("a", b"reply"), Released("a", Ending.FINISHED)])
+
+    def test_paid_goes_on_after_proof_and_fails_without(self) -> None:
+        for ending, answered in ((Ending.DIAL_REFUSED, []), (Ending.RESET, [Failed("x1")])):
+            session = "x0" if not answered else "x1"
+            self.ask(session, cls="exam")
+            self.run_for(SECOND // 10)
+            server = self.library.did[-1][1]
+            self.plugin.ended(server, session, ending)
+            self.run_for(SECOND // 10)
+            self.assertEqual(self.answers, answered)
+            starts = [did[1] for did in self.library.did if did[:1] + did[2:3] == ("start", session)]
+            self.assertEqual(len(starts), 1 if answered else 2)
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        self.ask("a", home=3, copies=1)
+        self.run_for(5 * SECOND)
+        self.assertEqual(self.answers, [Refused("a", 1_000)])
+
+    def test_a_lost_server_ends_what_stood_there(self) -> None:
+        self.ask("a")
+        self.run_for(SECOND // 10)
+        server = self.library.did[-1][1]
+        self.plugin.answered(server, "a")
+        self.plugin.hinted(ServerHint(server, 100.0))
+        self.plugin.noted(server, "a", "link", 0.5)
+        self.run_for(SECOND // 10)
+        self.plugin.lost(server)
+        self.run_for(SECOND // 10)
+        self.assertEqual(self.answers[1:], [Released("a", Ending.RESET)])
+
+    def test_nobody_answers_in_time(self) -> None:
+        for queued in (True, False):
+            self.library.queued = queued
+            self.ask(f"q{queued}", cls="exam", copies=1)
+            self.run_for(6 * SECOND)
+        # One that never left its queue may be refused; the other may have run.
+        self.assertEqual([type(each) for each in self.answers], [Refused, Failed])
+
+    def test_dropped_sessions_are_cancelled_or_released(self) -> None:
+        self.ask("a")
+        self.run_for(SECOND // 10)
+        self.plugin.drop("a")
+        self.run_for(SECOND // 10)
+        self.assertEqual(self.library.did[-1][0], "cancel")
+        self.ask("b")
+        self.run_for(SECOND // 10)
+        self.plugin.answered(self.library.did[-1][1], "b")
+        self.plugin.drop("b")
+        self.run_for(SECOND // 10)
+        self.assertEqual(self.library.did[-1][0], "release")
+        self.assertEqual(self.answers, [Served("b", b"")])
+
+    def test_run_on_a_thread_until_close(self) -> None:
+        answered = threading.Event()
+
+        class Prompt(Library):
+            def start(self, server: str, ask: SetUp) -> None:
+                plugin.answered(server, ask.session, b"reply")
+
+        plugin = Plugin(settings(classes=CLASSES), 7, Prompt())
+        thread = threading.Thread(target=plugin.run)
+        thread.start()
+        plugin.servers(ServerList([entry(0)], complete=True))
+        plugin.ask(request("a", plugin.clock(), copies=1), lambda answer: answered.set())
+        self.assertTrue(answered.wait(20))
+        plugin.close()
+        thread.join(20)
+        self.assertFalse(thread.is_alive())
+
+    def test_no_wire_comes_with_it(self) -> None:
+        code = ("import sys, lotuspick.plugin; "
+                "print([m for m in sys.modules if m.split('.')[0] in ('twisted', 'ldap3', 'typer', 'http_sf')])")
+        self.assertEqual(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout, "[]\n")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,152 @@
+"""Configuration, command line, directory of tenants, and the order of the layers."""
+
+from __future__ import annotations
+
+import ast
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import ldap3
+from helpers import SECOND, controller, place
+from scenario import SETTINGS
+
+from lotuspick.interface import TenantRates
+from lotuspick.program import config
+from lotuspick.routing.ports import DirectoryFault
+from lotuspick.transport.directory import LdapConfig, LdapDirectory
+
+ROOT = Path(__file__).parent.parent
+TOLD = {"name": "n0", "listen": "127.0.0.1:1", "seed": "1f", "coordinator": "127.0.0.1:2", "settings": SETTINGS}
+NOW = 20 * SECOND
+
+
+class Configuration(unittest.TestCase):
+    def test_defaults(self) -> None:
+        read = config.read(TOLD)
+        self.assertEqual((read.seed, read.sockets, read.memory_mb, read.index), (31, 1024, 192, 0))
+        self.assertEqual((read.period_us, read.dial_us, read.idle_us), (5_000, 250_000, 30_000_000))
+        self.assertFalse(read.hints.enabled)
+        self.assertIsNone(read.tenants.ldap)
+
+    def test_messages_name_the_key(self) -> None:
+        for key, value in (("name", None), ("listen", "here"), ("listen", "127.0.0.1:99999"), ("seed", "xyz"),
+                           ("coordinator", 5), ("settings", None), ("limits", {"sockets": "many"}),
+                           ("limits", {"sockets": 3}), ("known", {"index": 1}),
+                           ("settings", {**SETTINGS, "PeriodUs": "often"}),
+                           ("settings", {**SETTINGS, "GroupSize": 0})):
+            wanted = {"settings": "settings|PeriodUs|gateways", "limits": "sockets"}.get(key, key)
+            with self.subTest(key=key, value=value), self.assertRaisesRegex(config.ConfigError, wanted):
+                config.read({**TOLD, key: value})
+
+    def test_files_of_the_operators(self) -> None:
+        self.assertFalse(config.read_hints(ROOT / "deploy/hints.toml").enabled)
+        self.assertIsNone(config.read_tenants(ROOT / "deploy/tenants.toml").ldap)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "x.toml")
+            for text, wanted in (('enabled = "yes"', "enabled"), ('enabled = true\nlisten = "10.0.0.1:80"', "listen"),
+                                 ("port = 3", "port"), ("[nodes]\na = 5", "a must be"), ("= 3", "TOML")):
+                path.write_text(text)
+                with self.subTest(text), self.assertRaisesRegex(config.ConfigError, wanted):
+                    config.read_hints(path)
+            for text, wanted in (("enabled = true", "url"), ('enabled = true\nurl = "http://x"\nbase = "b"', "url"),
+                                 ('enabled = true\nurl = "ldap://x"\nbase = "b"\npassword_file = "no"', "password_file"),
+                                 ('enabled = true\nurl = "ldap://x"\nbase = "b"\nrefresh_s = 0', "refresh_s")):
+                path.write_text(text)
+                with self.subTest(text), self.assertRaisesRegex(config.ConfigError, wanted):
+                    config.read_tenants(path)
+            path.write_text('enabled = true\nurl = "ldap://x"\nbase = "b"\nbind_dn = "cn=a"')
+            self.assertEqual(config.read_tenants(path).ldap, LdapConfig("ldap://x", "b", bind_dn="cn=a"))
+
+    def test_command_line(self) -> None:
+        def run(*words: str, **environment: str) -> subprocess.CompletedProcess[str]:
+            return subprocess.run([sys.executable, "-m", "lotuspick", *words], cwd=ROOT, capture_output=True,
+                                  text=True, env={"PATH": "/usr/bin:/bin", **environment})
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "config.json")
+            path.write_text(json.dumps(TOLD))
+            done = run("check-config", PROXY_CONFIG=str(path), PROXY_LISTEN="127.0.0.1:7")
+            self.assertEqual((done.returncode, done.stderr), (0, ""))
+            self.assertIn("n0: listens on 127.0.0.1:7", done.stdout)
+            path.write_text(json.dumps({**TOLD, "seed": "zz"}))
+            done = run("serve", "--config", str(path))
+            self.assertEqual(done.returncode, 2)
+            self.assertIn("seed must be hex digits", done.stderr)
+        self.assertIn("lotuspick", run("version").stdout)
+        self.assertIn("PROXY_CONFIG", run("check-config").stderr)
+
+
+class Tenants(unittest.TestCase):
+    def directory(self, **entries: dict[str, Any]) -> LdapDirectory:
+        def connect(_: LdapConfig) -> ldap3.Connection:
+            connection = ldap3.Connection(ldap3.Server("stand-in"), client_strategy=ldap3.MOCK_SYNC)
+            for name, attributes in entries.items():
+                connection.strategy.add_entry(f"ou={name},o=t", {"objectClass": "organizationalUnit", **attributes})
+            connection.bind()
+            return connection
+
+        return LdapDirectory(LdapConfig("ldap://stand-in", "o=t"), connect)
+
+    def test_rates_are_read(self) -> None:
+        directory = self.directory(north={"ou": "north", "description": "2.5"}, south={"ou": "south", "description": "0"})
+        self.assertEqual(directory.rates(), {"north": 2.5, "south": 0.0})
+
+    def test_faults_name_the_entry_and_the_attribute(self) -> None:
+        for attributes, wanted in (({"ou": "a"}, "a,o=t: description is missing"),
+                                   ({"ou": "a", "description": "lots"}, "description must be a number")):
+            with self.assertRaisesRegex(DirectoryFault, wanted):
+                self.directory(a=attributes).rates()
+
+    def test_a_directory_that_is_away_is_a_fault(self) -> None:
+        with self.assertRaisesRegex(DirectoryFault, "127.0.0.1"):
+            LdapDirectory(LdapConfig("ldap://127.0.0.1:1", "o=t")).rates()
+
+    def test_what_is_asked_past_the_share_plays_at_the_floor(self) -> None:
+        made = controller(4)
+        made.handle(NOW, [TenantRates({"t": 0.6})])
+        rungs = [place(made, NOW + each, f"r{each}", tenant="t") for each in range(5)]
+        self.assertEqual([each is not None and each[1] > 0 for each in rungs], [True, True, True, False, False])
+        self.assertEqual(place(made, NOW, "other", tenant="unknown")[1], 0)
+        later = place(made, NOW + 6 * SECOND, "later", tenant="t")
+        self.assertGreater(later[1], 0)
+
+    def test_without_tenants_nobody_is_past_anything(self) -> None:
+        made = controller(4)
+        self.assertTrue(all(place(made, NOW + each, f"r{each}", tenant="t")[1] > 0 for each in range(4)))
+        self.assertEqual(made.asked, {})
+
+
+LAYERS = ["core", "routing", "protocol", "transport", "program"]
+CORE = {"control", "interface", "settings"}
+ABOVE = {"adapter", "plugin", "__init__", "__main__"}  # drivers of their own: not part of a layer
+
+
+class Layers(unittest.TestCase):
+    def test_each_layer_imports_only_those_to_its_left(self) -> None:
+        seen = set()
+        for path in (ROOT / "lotuspick").rglob("*.py"):
+            parts = path.relative_to(ROOT / "lotuspick").with_suffix("").parts
+            if parts[0] in ABOVE:
+                continue
+            layer = "core" if parts[0] in CORE else parts[0]
+            seen.add(layer)
+            for node in ast.walk(ast.parse(path.read_text())):
+                names = [node.module or ""] if isinstance(node, ast.ImportFrom) else [
+                    each.name for each in node.names] if isinstance(node, ast.Import) else []
+                for name in names:
+                    words = name.split(".")
+                    if words[0] == "lotuspick" and len(words) > 1:
+                        other = "core" if words[1] in CORE else words[1]
+                        self.assertLessEqual(LAYERS.index(other), LAYERS.index(layer), f"{path.name}: {name}")
+                    elif layer in ("core", "routing"):
+                        self.assertIn(words[0], sys.stdlib_module_names | {"lotuspick"}, f"{path.name}: {name}")
+        self.assertEqual(seen, set(LAYERS))
+
+
+if __name__ == "__main__":
+    unittest.main()
