Check a silent edge by a new connection, and keep the old one till its set-ups end

Seen by reading: a successful check dropped the old connection with the set-ups open on it, which fails paid ones; releases that waited behind a dial that timed out were dropped, which leaves sessions standing; and a machine that vanished was noticed only after 5 s though a set-up had timed out on it. Three scenarios.

--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -29,6 +29,7 @@
 BACKLOG = 256
 STAY_S = 0.8  # after SIGTERM requests keep coming for 0.6 s; those up to 0.7 s are owed an answer
 LONGEST_S = 30.0  # no set-up waits longer for its answer
+IDLE_PART = 0.9  # this side closes idle connections first: a set-up must not cross the other side's close
 SECOND = 1_000_000
 
 
@@ -39,7 +40,7 @@
         self.config, self.reactor = config, reactor
         self.module = Controller(config.settings, config.seed)
         limits = EdgeLimits(
-            dial_s=config.dial_us / SECOND, idle_s=config.idle_us / SECOND,
+            dial_s=config.dial_us / SECOND, idle_s=config.idle_us / SECOND * IDLE_PART,
             silence_s=config.silence_us / SECOND, per_connection=config.streams_per_connection,
             connections=config.sockets // 3)
         nodes = dict(config.hints.nodes) if config.hints.enabled else {}
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -27,6 +27,8 @@
 SWEEP_S = 0.25
 UNKNOWN_S = 3.0  # a server without an address, on which sessions stand, may be named within this
 DIALS = 2  # dials that time out before a machine where sessions stand is taken for gone
+RELEASE_DIALS = 40  # dials that time out before releases that wait are dropped
+SUSPECT_S = 1.0  # an attempt that times out, with nothing heard for so long, has its machine checked at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +112,7 @@
         self.dials = 0  # dials that timed out in a row
         self.queue: deque[Queued] = deque()
         self.open: dict[str, EdgeConnection] = {}  # set-ups sent and not answered
+        self.replaced: list[EdgeConnection] = []  # by a newer one; they close once no set-up is open on them
         self.heard_s = self.used_s = pool.reactor.seconds()
 
     @property
@@ -176,10 +179,27 @@
         old, self.connection = self.connection, connection
         self.heard_s = self.used_s = self.pool.reactor.seconds()
         if old is not None and old.up:
-            old.drop(Ending.SILENT)
+            self.replaced.append(old)
+            self._close_replaced()
         while self.queue:
             self._write(connection, self.queue.popleft())
 
+    def _close_replaced(self) -> None:
+        """Guards against a paid set-up that is lost with a connection that was only slow: a new one proves
+        that the machine is there, and the old one stays until its set-ups have ended."""
+        for old in [each for each in self.replaced if each not in self.open.values()]:
+            self.replaced.remove(old)
+            if old.up:
+                old.ending, old.up = Ending.IDLE, False
+                old.transport.loseConnection()
+
+    def end_set_up(self, session: str) -> EdgeConnection | None:
+        """A set-up is answered or given up."""
+        connection = self.open.pop(session, None)
+        if self.replaced:
+            self._close_replaced()
+        return connection
+
     def _not_up(self, ending: Ending) -> None:
         self.dialing = False
         log.info("edge not reached", extra={"edge": self.edge, "ending": ending.value})
@@ -199,8 +219,12 @@
         for item in waiting:
             if item.session:
                 self.pool.post(AttemptOver(self.edge, item.session, ending))
+            elif ending is Ending.DIAL_TIMEOUT and self.dials < RELEASE_DIALS:
+                # Guards against sessions left standing behind a cut that heals. Who refuses holds none.
+                self.queue.append(item)
 
     def down(self, ending: Ending) -> None:
+        """Nothing there is left: the process or the machine is gone."""
         if self.connection is not None:
             self.connection.drop(ending)
         self.pool.post(EdgeDown(self.edge, ending))
@@ -211,6 +235,8 @@
         for session in [each for each, on in self.open.items() if on is connection]:
             del self.open[session]
             self.pool.post(AttemptOver(self.edge, session, ending))
+        if connection in self.replaced:
+            self.replaced.remove(connection)
         if connection is not self.connection:
             return
         self.connection = None
@@ -230,7 +256,7 @@
         if item is None:
             return
         if message.kind in (wire.ANSWER, wire.RELEASE):
-            self.open.pop(message.session, None)
+            self.end_set_up(message.session)
         if isinstance(item, EdgeReleased):
             connection.sendString(wire.heard(message.session))
         self.pool.post(item)
@@ -240,7 +266,7 @@
         connection, limits = self.connection, self.pool.limits
         standing = self.pool.standing(self.edge)
         if connection is None or not connection.up:
-            if standing and not self.dialing:
+            if (standing or self.queue) and not self.dialing:
                 if self.address is not None:
                     self.dial()
                 elif now_s - self.heard_s > UNKNOWN_S:
@@ -272,7 +298,8 @@
 
     def room(self) -> bool:
         """Whether one more connection keeps inside the bound on descriptors."""
-        used = sum((link.connection is not None) + link.dialing for link in self.links.values())
+        used = sum((link.connection is not None) + link.dialing + len(link.replaced)
+                   for link in self.links.values())
         return used < self.limits.connections
 
     def named(self, news: ServerList, addresses: dict[str, tuple[str, int]]) -> None:
@@ -318,9 +345,12 @@
         link = self._link(edge)
         if link.unqueue(session):
             return True
-        connection = link.open.pop(session, None)
+        connection = link.open.get(session)
         if connection is not None and connection.up:
             connection.sendString(wire.release(session, Ending.GIVEN_UP))
+        link.end_set_up(session)
+        if self.reactor.seconds() - link.heard_s > SUSPECT_S:
+            link.dial()  # a machine that vanished takes no new connection: what it holds is over
         return False
 
     def release(self, edge: str, session: str, ending: Ending) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -158,22 +158,27 @@
     def __init__(self, world: World, label: str, state: str) -> None:
         super().__init__(world, label)
         self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.connections: list[socket.socket] = []
         self.fillers: list[socket.socket] = []
         if state == "refused":
             self.listener.close()
-            return
-        self.listener.listen(0 if state == "silent" else 16)
-        if state == "silent":
-            for _ in range(4):  # with its queue full the kernel lets no further connection come up
-                self.fillers.append(socket.socket())
-                self.fillers[-1].setblocking(False)
-                self.fillers[-1].connect_ex(self.listener.getsockname())
+        elif state == "silent":
+            self.fall_silent()
         else:
+            self.listener.listen(16)
             self.thread(self.accept)
 
+    def fall_silent(self) -> None:
+        """With its queue full the kernel lets no further connection come up."""
+        self.listener.listen(0)
+        for _ in range(4):
+            self.fillers.append(socket.socket())
+            self.fillers[-1].setblocking(False)
+            self.fillers[-1].connect_ex(self.listener.getsockname())
+
     def lost(self, why: str) -> None:
         """Not told: it would race with the next connection, which tells enough."""
 
@@ -210,7 +215,17 @@
         connection.sendall(struct.pack(">H", len(frame)) + frame)
 
     def close(self, how: str = "") -> None:
-        """In order, or with ``reset`` as when a process dies; ``all`` takes no new connection either."""
+        """In order, or with ``reset`` as when a process dies; ``all`` takes no new connection either. A machine
+        that goes ``silent`` keeps what is open and lets nothing new come up."""
+        if how == "silent":
+            address = self.listener.getsockname()
+            self.listener.shutdown(socket.SHUT_RDWR)
+            self.listener.close()
+            self.listener = socket.socket()
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.bind(address)
+            self.fall_silent()
+            return
         if how in ("reset", "all"):
             for connection in self.connections:
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -174,6 +174,36 @@
             v1 expect TEARDOWN s1 why=cause=41
         """)
 
+    def test_a_machine_that_vanishes_ends_its_sessions(self) -> None:
+        self.play(PLAYING + """
+            e0 close silent
+            v1 expect TEARDOWN s1 why=cause=41
+        """)
+
+    def test_a_set_up_that_times_out_has_its_machine_checked(self) -> None:
+        self.play(PLAYING + """
+            e0 close silent
+            v1 send SETUP s2 kind=exam left=1500
+            e0 expect SETUP s2
+            v1 expect 500 s2
+            e0 expect RELEASE s2 cause=16
+            v1 expect TEARDOWN s1 why=cause=41
+        """)
+
+    def test_a_slow_edge_that_is_there_keeps_its_set_ups_and_sessions(self) -> None:
+        self.play(PLAYING + """
+            e0 wait 1.2
+            v1 send SETUP s2 kind=exam left=4000
+            e0 expect SETUP s2
+            v1 send SETUP s3 kind=exam left=600
+            e0 expect SETUP s3
+            e0 expect RELEASE s3 cause=16
+            v1 expect 500 s3
+            e0 expect OPENED
+            e0 send ANSWER s2 body=late
+            v1 expect 200 s2 body=late
+        """)
+
     def test_an_address_that_went_to_another_is_not_dialled_for_the_old_id(self) -> None:
         self.play("""
             c send e1 state=up address=e0
