--- a/lotuspick/protocol/cmcd.py
+++ b/lotuspick/protocol/cmcd.py
@@ -8,7 +8,7 @@
 from lotuspick.interface import PlayerHint
 from lotuspick.protocol import structured
 from lotuspick.protocol.faults import ProtocolFault, fits
-from lotuspick.protocol.structured import FLAG, NUMBER, TEXT, TOKEN, WHOLE
+from lotuspick.protocol.structured import FLAG, KB_PER_KBIT, NUMBER, TEXT, TOKEN, WHOLE
 
 HEADERS = ("cmcd-request", "cmcd-object", "cmcd-status", "cmcd-session")
 QUERY = "CMCD"
@@ -17,9 +17,6 @@
     "nrr": TEXT, "ot": TOKEN, "pr": NUMBER, "rtp": WHOLE, "sf": TOKEN, "sid": TEXT, "st": TOKEN, "su": FLAG,
     "tb": WHOLE, "v": WHOLE,
 }
-WORDS = {"ot": frozenset("m a v av i c tt k o".split()), "sf": frozenset("d h s o".split()),
-         "st": frozenset("v l".split())}
-KB_PER_KBIT = 1 / 8
 
 
 def read(headers: Mapping[str, str], query: str | None = None) -> dict[str, Any]:
@@ -32,7 +29,7 @@
     for name, text in parts:
         pairs = [(key, structured.bare(value))
                  for key, value in structured.parse(text, "dictionary", name).items()]
-        for key, value in structured.check(pairs, KINDS, WORDS, name).items():
+        for key, value in structured.check(pairs, KINDS, name).items():
             if found.setdefault(key, value) != value:
                 raise ProtocolFault(f"{key} is given twice, and not alike")
     return found
--- a/lotuspick/protocol/cmsd.py
+++ b/lotuspick/protocol/cmsd.py
@@ -8,22 +8,19 @@
 from lotuspick.interface import ServerHint
 from lotuspick.protocol import structured
 from lotuspick.protocol.faults import ProtocolFault
-from lotuspick.protocol.structured import FLAG, NUMBER, TEXT, TOKEN, WHOLE
+from lotuspick.protocol.structured import FLAG, KB_PER_KBIT, NUMBER, TEXT, TOKEN, WHOLE
 
 STATIC, DYNAMIC = "cmsd-static", "cmsd-dynamic"
 STATIC_KINDS = {"at": WHOLE, "br": WHOLE, "d": WHOLE, "ht": WHOLE, "n": TEXT, "nor": TEXT, "nrr": TEXT,
                 "ot": TOKEN, "sf": TOKEN, "st": TOKEN, "v": WHOLE}
 DYNAMIC_KINDS = {"du": FLAG, "etp": WHOLE, "mb": WHOLE, "rd": NUMBER, "rtt": WHOLE}
-WORDS = {"ot": frozenset("m a v av i c tt k o".split()), "sf": frozenset("d h s o".split()),
-         "st": frozenset("v l".split())}
-KB_PER_KBIT = 1 / 8
 
 
 def read_static(text: str) -> dict[str, Any]:
     """The known keys of ``CMSD-Static``."""
     pairs = [(key, structured.bare(value))
              for key, value in structured.parse(text, "dictionary", STATIC).items()]
-    return structured.check(pairs, STATIC_KINDS, WORDS, STATIC)
+    return structured.check(pairs, STATIC_KINDS, STATIC)
 
 
 def read_dynamic(text: str) -> list[tuple[str, dict[str, Any]]]:
@@ -32,7 +29,7 @@
     for value, parameters in structured.parse(text, "list", DYNAMIC):
         if not isinstance(value, str):
             raise ProtocolFault(f"{DYNAMIC} has an entry that names no server: {str(value)[:40]!r}")
-        entries.append((str(value), structured.check(parameters.items(), DYNAMIC_KINDS, WORDS, DYNAMIC)))
+        entries.append((str(value), structured.check(parameters.items(), DYNAMIC_KINDS, DYNAMIC)))
     return entries
 
 
--- a/lotuspick/protocol/structured.py
+++ b/lotuspick/protocol/structured.py
@@ -16,6 +16,11 @@
 
 WHOLE, FLAG, TEXT, NUMBER, TOKEN = "a whole number", "a boolean", "a string", "a number", "a token"
 
+# The words of tokens, and the unit of rates, are the same in both.
+WORDS = {"ot": frozenset("m a v av i c tt k o".split()), "sf": frozenset("d h s o".split()),
+         "st": frozenset("v l".split())}
+KB_PER_KBIT = 1 / 8
+
 
 def parse(text: str, kind: str, name: str) -> Any:
     """A dictionary or list of structured fields; ``name`` is told with a fault."""
@@ -33,15 +38,14 @@
     return [bare(each) for each in value[0]] if isinstance(value[0], list) else value[0]
 
 
-def check(pairs: Iterable[tuple[str, Any]], kinds: Mapping[str, str], words: Mapping[str, frozenset[str]],
-          name: str) -> dict[str, Any]:
+def check(pairs: Iterable[tuple[str, Any]], kinds: Mapping[str, str], name: str) -> dict[str, Any]:
     """The known keys, each of its type; unknown ones, of later versions or of others, are passed over."""
     found: dict[str, Any] = {}
     for count, (key, value) in enumerate(pairs):
         if count >= MOST_KEYS:
             raise ProtocolFault(f"{name} has more than {MOST_KEYS} keys")
         if key in kinds:
-            found[key] = _typed(key, value, kinds[key], words.get(key))
+            found[key] = _typed(key, value, kinds[key], WORDS.get(key))
     return found
 
 
