--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -243,6 +243,40 @@
         """)
 
 
+class Bounds(Scenario):
+    SET_UP = (b"SETUP rtsp://media/aa00 RTSP/1.0\r\nCSeq: 1\r\nSession: 000000000000000%d\r\nP-Kind: exam\r\n"
+              b"P-Time-Left: 5000\r\nP-Path: home:0;copies:1;top:2\r\nContent-Length: 4\r\n\r\nof\r\n")
+
+    def test_messages_may_come_in_pieces_and_together(self) -> None:
+        both = self.SET_UP % 1 + self.SET_UP % 2
+        cuts = (0, 3, 33, 95, len(both) // 2 - 1, len(both) // 2 + 1, len(both))
+        pieces = "\n".join(f"v1 send RAW {both[start:end]!r}\nv1 wait 0.02"
+                           for start, end in zip(cuts, cuts[1:], strict=False))
+        self.play(pieces + """
+            e0 expect OPENED
+            e0 expect SETUP s1
+            e0 expect SETUP s2
+            e0 send ANSWER s2 body=two
+            v1 expect 200 s2 body=two
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+        """)
+
+    def test_viewers_keep_to_a_third_of_the_descriptors(self) -> None:
+        crowd = "\n".join(f"v{each} send OPTIONS\nv{each} expect 200" for each in range(10, 40))
+        self.play("""
+            v1 send SETUP s1 kind=exam left=8000
+            e0 expect OPENED
+            e0 expect SETUP s1
+        """ + crowd + """
+            v10 expect CLOSED
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+            v39 send OPTIONS
+            v39 expect 200
+        """, limits={"sockets": 64})
+
+
 class Malformed(Scenario):
     def test_bad_framing_costs_the_connection_and_no_more(self) -> None:
         for raw in (b"NONSENSE\r\n", b"\xff\xfe\r\n", b"SETUP rtsp://media/a RTSP/1.0\r\nno colon\r\n",
