--- a/lotuspick/transport/hints.py
+++ b/lotuspick/transport/hints.py
@@ -189,7 +189,7 @@
         return server.NOT_DONE_YET
 
     def _cmcd(self, request: Any) -> dict[str, Any]:
-        headers = {name: header(request, name) for name in cmcd.HEADERS if request.getHeader(name)}
+        headers = {name: header(request, name) for name in cmcd.HEADERS if has(request, name)}
         queries = request.args.get(cmcd.QUERY.encode(), [])
         if len(queries) > 1:
             raise ProtocolFault(f"{cmcd.QUERY} is given twice")
@@ -201,7 +201,7 @@
             raise ProtocolFault("title is not printable ASCII")
         message = rtsp.Message("SETUP", rtsp.BASE + title, body=request.content.read(),
                                headers={name: header(request, name) for name in FIELDS
-                                        if request.getHeader(name) is not None})
+                                        if has(request, name)})
         session = message.session
         asked = rtsp.read_set_up(message, now_us(), self.front.classes)
         if isinstance(asked.request, SessionPlaying):
@@ -262,12 +262,19 @@
         return NOTHING
 
 
+def has(request: Any, name: str) -> bool:
+    return bool(request.requestHeaders.hasHeader(name.encode()))
+
+
 def header(request: Any, name: str) -> str:
     """A header of a request as text; given twice it is a fault."""
-    values = request.requestHeaders.getRawHeaders(name, [])
+    values = request.requestHeaders.getRawHeaders(name.encode(), [])
     if len(values) != 1:
         raise ProtocolFault(f"{name} is given twice")
-    text: str = values[0]
+    try:
+        text: str = values[0].decode("ascii")
+    except UnicodeDecodeError:
+        raise ProtocolFault(f"{name} is not ASCII") from None
     return text
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -395,6 +395,10 @@
             p1 expect 400 body=~bl
             p1 send SETUP s2 left=soon
             p1 expect 400 body=~P-Time-Left
+            p1 send SETUP s2 kind=ü
+            p1 expect 400 body=~p-kind
+            p1 send HINT s2 CMCD-Status=ü
+            p1 expect 400 body=~cmcd-status
         """, hints=True, n0="up")
 
     def test_a_player_that_leaves_gives_its_set_up_up(self) -> None:
