--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -161,6 +161,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.opened: queue.Queue[None] = queue.Queue()  # apart: connections race with what is said on others
         self.connections: list[socket.socket] = []
         self.fillers: list[socket.socket] = []
         if state == "refused":
@@ -186,9 +187,18 @@
         while True:
             connection, _ = self.listener.accept()
             self.connections.append(connection)
-            self.heard.put(("OPENED", "", {}))
+            self.opened.put(None)
             self.thread(self.read, connection.makefile("rb"))
 
+    def expect(self, kind: str, session: str, fields: dict[str, str]) -> None:
+        if kind != "OPENED":
+            super().expect(kind, session, fields)
+            return
+        try:
+            self.opened.get(timeout=PATIENCE)
+        except queue.Empty:
+            raise AssertionError(f"{self.label} got no connection") from None
+
     def read(self, stream: Any) -> None:
         while head := stream.read(2):
             frame = stream.read(struct.unpack(">H", head)[0])
