--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -15,13 +15,11 @@
 from lotuspick.program.config import Config
 from lotuspick.protocol.coordinator import Change
 from lotuspick.routing.loop import Loop
-from lotuspick.routing.ports import Directory, Roster, Tenants
+from lotuspick.routing.ports import Directory, Edges, Roster, Tenants
 from lotuspick.transport.base import Reactor, now_us
 from lotuspick.transport.coordinator import Feed
 from lotuspick.transport.directory import LdapDirectory
 from lotuspick.transport.edges import EdgeLimits, EdgePool
-from lotuspick.transport.hints import HintsFront
-from lotuspick.transport.nodes import NodePool, Switch
 from lotuspick.transport.viewers import RtspFront, RtspViewer
 
 log = logging.getLogger(__name__)
@@ -43,15 +41,17 @@
             dial_s=config.dial_us / SECOND, idle_s=config.idle_us / SECOND * IDLE_PART,
             silence_s=config.silence_us / SECOND, per_connection=config.streams_per_connection,
             connections=config.sockets // 3)
-        nodes = dict(config.hints.nodes) if config.hints.enabled else {}
         self.edges = EdgePool(reactor, limits, self._post, self._standing)
-        self.nodes = NodePool(reactor, nodes, limits.dial_s, self._post, self._standing)
+        edges: Edges = self.edges
+        self.nodes = dict(config.hints.nodes) if config.hints.enabled else {}
+        if self.nodes:
+            from lotuspick.transport.nodes import NodePool, Switch
+
+            nodes = NodePool(reactor, self.nodes, limits.dial_s, self._post, self._standing)
+            edges = Switch(nodes, self.edges)
         classes = frozenset(each.name for each in config.settings.classes)
-        self.loop = Loop(self.module, Switch(self.nodes, self.edges), now_us, self._wake, config.period_us,
-                         classes)
-        self.front = RtspFront(reactor, self._post, self._ready, classes, config.sockets // 3,
-                               self._in_use)
-        self.hints = HintsFront(reactor, self._post, self._ready, classes)
+        self.loop = Loop(self.module, edges, now_us, self._wake, config.period_us, classes)
+        self.front = RtspFront(reactor, self._post, self._ready, classes, config.sockets // 3, self._in_use)
         self.feed = Feed(reactor, config.coordinator_address, config.index, self._changed)
         ldap = config.tenants.ldap
         self.directory: Directory | None = LdapDirectory(ldap) if ldap is not None else None
@@ -61,17 +61,15 @@
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, and until nothing is owed any more."""
         _bound_descriptors(self.config.sockets)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
         for change in self.config.changes:
             self._changed(change)
         self.loop.tick()
         host, port = self.config.listen
         port = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host).getHost().port
         if self.config.hints.enabled:
-            front = self.reactor.listenTCP(self.config.hints.port, self.hints.site(self.config.sockets // 6),
-                                           backlog=BACKLOG, interface=self.config.hints.host)
-            log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(front.getHost())})
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
+            self._open_hints()
         self.edges.start()
         self.feed.poll()
         self._read_tenants()
@@ -82,6 +80,15 @@
         self.reactor.run(installSignalHandlers=False)
         log.info("stopped")
 
+    def _open_hints(self) -> None:
+        """The second front; what it needs is imported only where it is on, for a quick start elsewhere."""
+        from lotuspick.transport.hints import HintsFront
+
+        hints = HintsFront(self.reactor, self._post, self._ready, self.loop.classes)
+        front = self.reactor.listenTCP(self.config.hints.port, hints.site(self.config.sockets // 6),
+                                       backlog=BACKLOG, interface=self.config.hints.host)
+        log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(front.getHost())})
+
     def stop(self) -> None:
         """A planned end: go on accepting and answering, and exit once nothing is owed."""
         if self.stopping:
@@ -124,7 +131,7 @@
         return any(entry.viewer is viewer and not entry.stands for entry in self.loop.table.values())
 
     def _changed(self, change: Change) -> None:
-        edges = [entry for entry in change.news.servers if entry.server not in self.nodes.nodes]
+        edges = [entry for entry in change.news.servers if entry.server not in self.nodes]
         self.edges.named(ServerList(edges, change.news.complete), change.addresses)
         self.loop.post(Roster(change.news))
 
--- a/lotuspick/program/logs.py
+++ b/lotuspick/program/logs.py
@@ -4,8 +4,10 @@
 
 import logging
 import sys
+from typing import Any
 
 from logfmter import Logfmter
+from twisted.logger import STDLibLogObserver, globalLogBeginner
 
 LEVELS = ("debug", "info", "warning", "error")
 
@@ -16,3 +18,7 @@
     handler.setFormatter(Logfmter(keys=["when", "at", "logger"],
                                   mapping={"when": "asctime", "at": "levelname", "logger": "name"}))
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    logging.getLogger("twisted").setLevel(logging.WARNING)
+    # What goes wrong inside the reactor is told in the same form, not lost.
+    observer: Any = STDLibLogObserver()
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
--- a/lotuspick/protocol/rtsp.py
+++ b/lotuspick/protocol/rtsp.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass, field
 
 from lotuspick.interface import SessionPlaying, SessionRequest
-from lotuspick.protocol.faults import ProtocolFault, fits, session_id, whole
+from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault, fits, session_id, whole
 from lotuspick.routing.endings import Ending
 from lotuspick.routing.ports import Asked, Viewer
 
 VERSION = "RTSP/1.0"
 BASE = "rtsp://media/"
 MOST_HEADERS = 64
+EDGE_HEAD = 256  # what an edge message holds beside description and title, with room to spare
 MOST_LEFT_MS = 24 * 3_600_000
 METHODS = frozenset({"SETUP", "TEARDOWN", "OPTIONS", "ANNOUNCE", "REDIRECT", "SET_PARAMETER"})
 
@@ -135,6 +136,8 @@
     title = message.address[len(BASE):]
     if not title:
         raise ProtocolFault("address names no title")
+    if len(message.body) + len(title) > MOST_BYTES - EDGE_HEAD:
+        raise ProtocolFault("description is too long to be passed on")
     figures = _path(message.header("P-Path"))
     for name in ("home", "copies", "top"):
         if name not in figures:
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -126,7 +126,10 @@
         events: list[Event] = []
         ready, self.inbox = self.inbox, deque()
         for item in ready:
-            events.extend(self.turns[type(item)](item, now))
+            try:
+                events.extend(self.turns[type(item)](item, now))
+            except Exception:  # guards the rest of the batch, and the process, against a fault over one item
+                log.exception("item passed over", extra={"item": type(item).__name__})
         while self.due and self.due[0][0] <= now:
             event = heapq.heappop(self.due)[2](now)
             if event is not None:
@@ -155,7 +158,10 @@
             actions = [Fail(event.session) for event in events
                        if isinstance(event, SessionRequest) and not isinstance(event, SessionPlaying)]
         for action in actions:
-            self._carry_out(action, now)
+            try:
+                self._carry_out(action, now)
+            except Exception:  # as above: the other actions still have to be carried out
+                log.exception("action not carried out", extra={"action": type(action).__name__})
 
     def _after(self, at_us: int, then: Callable[[int], Event | None]) -> None:
         self.timers += 1
--- a/lotuspick/transport/directory.py
+++ b/lotuspick/transport/directory.py
@@ -1,4 +1,8 @@
-"""Tenants from an LDAP directory."""
+"""Tenants from an LDAP directory.
+
+The client library is imported where it is used: it takes a sixth of the program's start, and most sites have
+no directory.
+"""
 
 from __future__ import annotations
 
@@ -7,9 +11,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import ldap3
-from ldap3.core.exceptions import LDAPException
-
 from lotuspick.routing.ports import DirectoryFault
 
 TIMEOUT_S = 5
@@ -31,6 +32,8 @@
 
 def connect(config: LdapConfig) -> Any:
     """A bound connection; anonymous without a name."""
+    import ldap3
+
     server = ldap3.Server(config.url, connect_timeout=TIMEOUT_S)
     return ldap3.Connection(server, config.bind_dn or None, config.password or None, read_only=True,
                             receive_timeout=TIMEOUT_S, auto_bind=True)
@@ -43,6 +46,9 @@
         self.config, self.connector = config, connector
 
     def rates(self) -> dict[str, float]:
+        import ldap3
+        from ldap3.core.exceptions import LDAPException
+
         config = self.config
         try:
             connection = self.connector(config)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -4,14 +4,18 @@
 
 import json
 import unittest
+from typing import Any
 
+from helpers import request
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lotuspick.interface import Refuse, SessionRequest
 from lotuspick.protocol import cmcd, cmsd, coordinator, edge, nodes, rtsp
 from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
 from lotuspick.routing.endings import NEVER_RAN, OUTCOMES, Ending
-from lotuspick.routing.ports import EdgeAnswered, EdgeNoted, EdgeReleased, SetUp
+from lotuspick.routing.loop import Loop
+from lotuspick.routing.ports import Asked, EdgeAnswered, EdgeNoted, EdgeReleased, SetUp
 
 ID = "9b1f03aa5c7e2d41"
 CLASSES = frozenset({"paid"})
@@ -57,6 +61,16 @@
             assert message is not None
             self.assertIsNone(rtsp.read_set_up(message, 0, CLASSES).request.length_us)
 
+    def test_what_no_edge_message_could_hold_is_turned_away_at_the_door(self) -> None:
+        for size, good in ((MOST_BYTES - 300, True), (MOST_BYTES - 200, False)):
+            message = rtsp.Message("SETUP", rtsp.BASE + "t" * 16, headers={
+                "session": ID, "p-kind": "paid", "p-time-left": "9", "p-path": "home:0;copies:1;top:0"}, body=b"x" * size)
+            if good:
+                edge.set_up(SetUp(ID, "paid", "t" * 16, 2, 9, rtsp.read_set_up(message, 0, CLASSES).description))
+            else:
+                with self.assertRaisesRegex(ProtocolFault, "too long"):
+                    rtsp.read_set_up(message, 0, CLASSES)
+
     def test_the_bound_holds_for_heads_and_bodies(self) -> None:
         for lines in ([HEAD[0], *(b"h%d: %s" % (n, b"x" * 1_000) for n in range(20))],
                       [*HEAD[:7], b"Content-Length: %d" % MOST_BYTES, b""],
@@ -155,6 +169,41 @@
                 self.assertTrue(str(fault))
 
 
+class Faults(unittest.TestCase):
+    """A fault inside the program costs what it is about, and nothing else."""
+
+    def test_one_bad_item_does_not_cost_the_others(self) -> None:
+        said: list[str] = []
+
+        class Module:
+            def handle(self, now: int, events: list[Any]) -> list[Any]:
+                if any(getattr(event, "title", "") == "fatal" for event in events):
+                    raise RuntimeError("fault of the module")
+                return [Refuse(event.session) for event in events if isinstance(event, SessionRequest)]
+
+        class Asker:
+            open = True
+
+            def refused(self, session: str, gap_ms: int) -> None:
+                said.append(f"refused {session}")
+
+            def failed(self, session: str, why: str = "") -> None:
+                said.append(f"failed {session}")
+
+        class Broken:
+            open = True  # and no method of a viewer
+
+        loop = Loop(Module(), None, lambda: 0, lambda at: None, 10, frozenset({"clip"}))  # type: ignore[arg-type]
+        with self.assertLogs("lotuspick.routing.loop", "ERROR") as logged:
+            for session, viewer in (("a", Broken()), ("b", Asker()), ("c", Asker())):
+                loop.post(Asked(request(session), viewer=viewer))  # type: ignore[arg-type]
+            loop.tick()
+            loop.post(Asked(request("d", title="fatal"), viewer=Asker()))  # type: ignore[arg-type]
+            loop.tick()
+        self.assertEqual(said, ["refused b", "refused c", "failed d"])
+        self.assertEqual(len(logged.records), 2)
+
+
 class Endings(unittest.TestCase):
     def test_every_ending_has_an_outcome_and_only_proof_counts_as_proof(self) -> None:
         self.assertEqual(set(OUTCOMES), set(Ending))
