Move to the new coordinator on SIGHUP instead of ending

No handler stood for SIGHUP (program/daemon.py run), and the feed had no way to leave an address (transport/ coordinator.py). Ruled out: the coordinator's close after 1.5 s; the feed asks again with its index as it does after any break. Now the file is read again, the wait at the old coordinator is given up and the new one asked at once with the last index; a bad file is logged and the old one kept.

--- a/lotuspick/program/cli.py
+++ b/lotuspick/program/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 from importlib import metadata
 from pathlib import Path
 from typing import Annotated
@@ -35,11 +36,12 @@
         raise typer.BadParameter(f"must be one of {', '.join(logs.LEVELS)}", param_hint="--log-level")
     loaded = _load(path, hints, tenants)
     logs.start(log_level)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end for one that comes before it is ready
     from twisted.internet import reactor  # importing it installs it
 
     from lotuspick.program.daemon import Daemon
 
-    Daemon(loaded, reactor).run()
+    Daemon(loaded, reactor, lambda: config.load(os.environ, path, hints, tenants)).run()
 
 
 @app.command("check-config")
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -6,13 +6,15 @@
 import logging
 import resource
 import signal
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.threads import deferToThread
 
 from lotuspick.control import Controller
 from lotuspick.interface import ServerList, TenantRates
-from lotuspick.program.config import Config
+from lotuspick.program.config import Config, ConfigError
 from lotuspick.protocol.coordinator import Change
 from lotuspick.routing.loop import Loop
 from lotuspick.routing.ports import Directory, Edges, Roster, Tenants
@@ -34,8 +36,8 @@
 class Daemon:
     """One broker in one process."""
 
-    def __init__(self, config: Config, reactor: Reactor) -> None:
-        self.config, self.reactor = config, reactor
+    def __init__(self, config: Config, reactor: Reactor, again: Callable[[], Config]) -> None:
+        self.config, self.reactor, self.again = config, reactor, again
         self.module = Controller(config.settings, config.seed)
         limits = EdgeLimits(
             dial_s=config.dial_us / SECOND, idle_s=config.idle_us / SECOND * IDLE_PART,
@@ -63,6 +65,7 @@
         _bound_descriptors(self.config.sockets)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
+        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         for change in self.config.changes:
             self._changed(change)
         self.loop.tick()
@@ -89,6 +92,20 @@
                                        backlog=BACKLOG, interface=self.config.hints.host)
         log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(front.getHost())})
 
+    def reload(self) -> None:
+        """Read the configuration again and move to the coordinator named. Guards against a broker that
+        ends for a new file, or for a bad one: connections, sessions and the last index stay as they are."""
+        try:
+            config = self.again()
+        except ConfigError as error:
+            log.error("configuration not taken, the old one stands", extra={"fault": str(error)})
+            return
+        self.feed.move(config.coordinator_address)
+        taken = replace(self.config, coordinator_address=config.coordinator_address, index=config.index,
+                        changes=config.changes)
+        log.info("configuration read again", extra={"coordinator": config.coordinator_address,
+                                                    "rest": "same" if taken == config else "for a restart"})
+
     def stop(self) -> None:
         """A planned end: go on accepting and answering, and exit once nothing is owed."""
         if self.stopping:
--- a/lotuspick/transport/coordinator.py
+++ b/lotuspick/transport/coordinator.py
@@ -29,12 +29,24 @@
                  tell: Callable[[wire.Change], None]) -> None:
         self.reactor, self.address, self.index, self.tell = reactor, address, index, tell
         self.agent = Agent(reactor, connectTimeout=GRACE_S, pool=HTTPConnectionPool(reactor))
-        self.failing = False
+        self.failing = self.moved = False
+        self.asked: Deferred[Any] | None = None
+
+    def move(self, address: str) -> None:
+        """Follow another coordinator from the same index on. Guards against a wait at the old one that tells
+        nothing more: it is given up, and the new one is asked at once."""
+        if address == self.address:
+            return
+        self.address, self.moved = address, True
+        if self.asked is not None:
+            self.asked.cancel()
 
     def poll(self) -> None:
         """Ask for what is later than the last index; never stops."""
+        self.moved = False
         url = f"http://{self.address}/v2/stream?follow={self.index}&wait_ms={WAIT_MS}"
         asked: Deferred[Any] = self.agent.request(b"GET", url.encode())
+        self.asked = asked
         asked.addCallback(self._answer)
         asked.addTimeout(WAIT_MS / 1_000 + GRACE_S, self.reactor)
         asked.addCallbacks(self._read, self._failed)
@@ -58,7 +70,7 @@
         self.reactor.callLater(0, self.poll)
 
     def _failed(self, reason: Failure) -> None:
-        if not self.failing:
+        if not self.failing and not self.moved:
             log.warning("coordinator does not answer", extra={"fault": reason.getErrorMessage()[:200]})
             self.failing = True
-        self.reactor.callLater(AGAIN_S, self.poll)
+        self.reactor.callLater(0 if self.moved else AGAIN_S, self.poll)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -393,7 +393,8 @@
 
 
 class Broker(Actor):
-    """The program itself: ``b send TERM``, ``b expect EXIT code=0``."""
+    """The program itself: ``b send TERM``, ``b expect EXIT code=0``; ``b send HUP coordinator=c2`` or ``text=``
+    first replaces the configuration file."""
 
     def __init__(self, world: World, command: list[str], environment: dict[str, str]) -> None:
         super().__init__(world, "b")
@@ -416,6 +417,11 @@
         return int(fields["port"])
 
     def send(self, kind: str, session: str, fields: dict[str, str]) -> None:
+        if "coordinator" in fields:
+            told = {**self.world.told, "coordinator": self.world.actor(fields["coordinator"]).address}
+            self.world.config.write_text(json.dumps(told))
+        if "text" in fields:
+            self.world.config.write_text(fields["text"])
         self.process.send_signal(getattr(signal, f"SIG{kind}"))
 
 
@@ -431,13 +437,14 @@
         self.actors["c"].update(True, [self.entry(label, state, label) for label, state in self.states.items()])
         self.folder = tempfile.TemporaryDirectory()
         settings = {**SETTINGS, "FamilyInfo": {**SETTINGS["FamilyInfo"], **(family or {})}}
-        config = Path(self.folder.name, "config.json")
-        config.write_text(json.dumps({
+        config = self.config = Path(self.folder.name, "config.json")
+        self.told = {
             "name": "n0", "listen": "127.0.0.1:0", "seed": f"{seed:x}", "settings": settings,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **(limits or {})},
             "coordinator": self.actors["c"].address,
-            "known": {"index": 1, "updates": self.actors["c"].events[:1]}}))
-        command = [sys.executable, *os.environ.get("DBG","-m lotuspick").split(), "serve"]
+            "known": {"index": 1, "updates": self.actors["c"].events[:1]}}
+        config.write_text(json.dumps(self.told))
+        command = [sys.executable, "-m", "lotuspick", "serve"]
         if hints:
             nodes = [f'"s-{label}" = "{actor.address}"' for label, actor in self.actors.items() if label[0] == "n"]
             front = Path(self.folder.name, "hints.toml")
@@ -454,7 +461,9 @@
 
     def actor(self, label: str) -> Any:
         if label not in self.actors:
-            self.actors[label] = {"v": Viewer, "p": Player}[label[0]](self, label)
+            self.actors[label] = {"v": Viewer, "p": Player, "c": Coordinator}[label[0]](self, label)
+            if label[0] == "c":  # numbers continue
+                self.actors[label].events = list(self.actors["c"].events)
         return self.actors[label]
 
     def play(self, script: str) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -260,6 +260,32 @@
         """)
 
 
+class Reloading(Scenario):
+    def test_sighup_moves_to_the_new_coordinator_and_keeps_all_else(self) -> None:
+        self.play(PLAYING + """
+            c close quiet
+            c expect ASKED follow=1
+            b send HUP coordinator=c2
+            c2 send e0 state=draining
+            b wait 0.6
+            v1 send SETUP s2 left=700
+            v1 expect 453 s2
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+        """)
+
+    def test_a_bad_file_is_logged_and_the_old_one_kept(self) -> None:
+        self.play(PLAYING + """
+            b send HUP text={"coordinator":
+            c send e0 state=draining
+            b wait 0.6
+            v1 send SETUP s2 left=700
+            v1 expect 453 s2
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+        """)
+
+
 class Bounds(Scenario):
     SET_UP = (b"SETUP rtsp://media/aa00 RTSP/1.0\r\nCSeq: 1\r\nSession: 000000000000000%d\r\nP-Kind: exam\r\n"
               b"P-Time-Left: 5000\r\nP-Path: home:0;copies:1;top:2\r\nContent-Length: 4\r\n\r\nof\r\n")
