Close the viewer connections that can best be spared, not the shared ones

Cause: at the bound RtspFront.opened closed the oldest idle connection, which is the one that many viewers share, and Loop._release then took the newest open one, which a viewer holds that asked once and reads no more. Ruled out: edges (their releases came in time), descriptors (108 of 256). Now the loop names the connection to spare: silent ones first, then those without sessions, then those of viewers that asked once; releases without a connection of their own go where most set-ups were carried. Viewers may hold half of the descriptors, edges a quarter. Decisions unchanged.

--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -22,7 +22,7 @@
 from lotuspick.transport.coordinator import Feed
 from lotuspick.transport.directory import LdapDirectory
 from lotuspick.transport.edges import EdgeLimits, EdgePool
-from lotuspick.transport.viewers import RtspFront, RtspViewer
+from lotuspick.transport.viewers import RtspFront
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +42,7 @@
         limits = EdgeLimits(
             dial_s=config.dial_us / SECOND, idle_s=config.idle_us / SECOND * IDLE_PART,
             silence_s=config.silence_us / SECOND, per_connection=config.streams_per_connection,
-            connections=config.sockets // 3)
+            connections=config.sockets // 4)
         self.edges = EdgePool(reactor, limits, self._post, self._standing)
         edges: Edges = self.edges
         self.nodes = dict(config.hints.nodes) if config.hints.enabled else {}
@@ -53,7 +53,8 @@
             edges = Switch(nodes, self.edges)
         classes = frozenset(each.name for each in config.settings.classes)
         self.loop = Loop(self.module, edges, now_us, self._wake, config.period_us, classes)
-        self.front = RtspFront(reactor, self._post, self._ready, classes, config.sockets // 3, self._in_use)
+        self.front = RtspFront(reactor, self._post, self._ready, classes, config.sockets // 2,
+                               self.loop.spare)
         self.feed = Feed(reactor, config.coordinator_address, config.index, self._changed)
         ldap = config.tenants.ldap
         self.directory: Directory | None = LdapDirectory(ldap) if ldap is not None else None
@@ -144,9 +145,6 @@
     def _ready(self) -> bool:
         return bool(self.module.servers) and not self.stopping
 
-    def _in_use(self, viewer: RtspViewer) -> bool:
-        return any(entry.viewer is viewer and not entry.stands for entry in self.loop.table.values())
-
     def _changed(self, change: Change) -> None:
         edges = [entry for entry in change.news.servers if entry.server not in self.nodes]
         self.edges.named(ServerList(edges, change.news.complete), change.addresses)
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -56,6 +56,8 @@
 
 MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
 OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
+FRESH_US = 1_000_000  # a connection so new may be about to ask ...
+FRESH_COUNTS = 3  # ... and goes after those of viewers that asked once, but before those that many share
 MS = 1_000
 
 
@@ -80,6 +82,14 @@
     stands: bool = False
 
 
+@dataclass(slots=True, eq=False)
+class Seat:
+    """What is known of a viewer connection."""
+
+    came_us: int
+    asked: int = 0  # set-ups that it has carried
+
+
 class Loop:
     """Holds the sessions of one broker; all times are whole microseconds of one clock."""
 
@@ -90,7 +100,8 @@
         self.inbox: deque[Inbound] = deque()
         self.table: dict[str, Entry] = {}
         self.by_edge: dict[str, set[str]] = {}
-        self.viewers: dict[Viewer, None] = {}  # connections on which a release can go out, oldest first
+        self.viewers: dict[Viewer, Seat] = {}  # connections on which a release can go out, last to ask last
+        self.by_viewer: dict[Viewer, set[str]] = {}
         self.owed: deque[tuple[int, str, Ending]] = deque()  # releases that found no viewer connection
         self.due: list[tuple[int, int, Callable[[int], Event | None]]] = []
         self.ticked_us, self.woken_us, self.timers = 0, 0, 0
@@ -114,6 +125,28 @@
         """Sessions and attempts at an edge server."""
         return len(self.by_edge.get(edge, ()))
 
+    def spare(self) -> Viewer | None:
+        """The viewer connection that can best be closed to make room; none with a set-up open can. Guards
+        against sessions that lose the way to their viewers: the connections that many share go last, after
+        those that say nothing, those on which nothing stands, and those of viewers that asked once."""
+        now = self.clock()
+        asking = {item.viewer for item in self.inbox if isinstance(item, Asked)}
+        best: Viewer | None = None
+        best_key = (3, 0)
+        for viewer, seat in self.viewers.items():
+            there = self.by_viewer.get(viewer, ())
+            if not viewer.open or viewer in asking or any(not self.table[each].stands for each in there):
+                continue
+            if there:
+                key = (2, seat.asked + len(there))
+            elif not seat.asked and now - seat.came_us < FRESH_US:
+                key = (2, FRESH_COUNTS)
+            else:
+                key = (1 if seat.asked else 0, seat.asked)
+            if key < best_key:  # the first of equals: the one that has asked for nothing longest
+                best, best_key = viewer, key
+        return best
+
     @property
     def owes(self) -> bool:
         """Whether a viewer still waits for an answer or for word of an end."""
@@ -183,8 +216,15 @@
         held = self.table.get(session)
         if isinstance(request, SessionPlaying):
             return self._handed_over(request, held, item.viewer)
+        seat = self.viewers.pop(item.viewer, None) if item.viewer is not None else None
+        if seat is not None and item.viewer is not None:
+            self.viewers[item.viewer] = seat
+            seat.asked += 1
         if held is not None and not held.stands and item.viewer is not None:
-            held.viewer = item.viewer  # sent again after a close that it crossed: one request, one answer
+            # Sent again after a close that it crossed: one request, one answer.
+            self._unseat(session, held)
+            held.viewer = item.viewer
+            self._seat(session, held)
             return []
         if held is not None or request.cls not in self.classes:
             self._say(item.viewer, lambda viewer: viewer.failed(
@@ -193,7 +233,8 @@
         if self.open_set_ups >= MOST_OPEN:
             self._say(item.viewer, lambda viewer: viewer.refused(session, 1_000))
             return []
-        self.table[session] = Entry(request, item.description, item.viewer)
+        entry = self.table[session] = Entry(request, item.description, item.viewer)
+        self._seat(session, entry)
         self.open_set_ups += 1
         self._after(request.deadline_us, lambda later: self._overdue(session, request))
         return [request]
@@ -203,6 +244,7 @@
             return []
         entry = Entry(request, viewer=viewer, edge=request.server, attempt=0, stands=True)
         self._put(request.session, entry)
+        self._seat(request.session, entry)
         self.edges.watch(request.server)
         return [request]
 
@@ -218,16 +260,17 @@
     def _viewer_lost(self, item: ViewerLost, now: int) -> list[Event]:
         self.viewers.pop(item.viewer, None)
         events: list[Event] = []
-        for session, entry in list(self.table.items()):
-            if entry.viewer is item.viewer:
-                if not entry.stands:
-                    events.extend(self._give_up(session, entry))
-                else:
-                    entry.viewer = None
+        for session in sorted(self.by_viewer.get(item.viewer, ())):
+            entry = self.table[session]
+            if entry.stands:
+                self._unseat(session, entry)
+                entry.viewer = None
+            else:
+                events.extend(self._give_up(session, entry))
         return events
 
     def _viewer_came(self, item: ViewerCame, now: int) -> list[Event]:
-        self.viewers[item.viewer] = None
+        self.viewers[item.viewer] = Seat(now)
         owed, self.owed = self.owed, deque()
         for _, session, ending in owed:
             item.viewer.released(session, ending)
@@ -312,8 +355,11 @@
 
     def _release(self, session: str, entry: Entry, ending: Ending, now: int) -> None:
         viewer = entry.viewer if entry.viewer is not None and entry.viewer.open else None
-        if viewer is None:  # a session belongs to no connection: any that is open will do
-            viewer = next((each for each in reversed(self.viewers) if each.open), None)
+        if viewer is None:
+            # A session belongs to no connection, so any that is open will do. Guards against one that is read
+            # by nobody any more: the one that has carried most set-ups is surely in use.
+            can = [each for each in self.viewers if each.open]
+            viewer = max(can, key=lambda each: self.viewers[each].asked, default=None)
         if viewer is None:
             self.owed.append((now + OWED_US, session, ending))
         else:
@@ -332,6 +378,17 @@
         self.table[session] = entry
         self.by_edge.setdefault(entry.edge, set()).add(session)
 
+    def _seat(self, session: str, entry: Entry) -> None:
+        if entry.viewer is not None:
+            self.by_viewer.setdefault(entry.viewer, set()).add(session)
+
+    def _unseat(self, session: str, entry: Entry) -> None:
+        there = self.by_viewer.get(entry.viewer) if entry.viewer is not None else None
+        if there is not None and entry.viewer is not None:
+            there.discard(session)
+            if not there:
+                del self.by_viewer[entry.viewer]
+
     def _leave(self, session: str, entry: Entry) -> None:
         there = self.by_edge.get(entry.edge)
         if there is not None:
@@ -343,6 +400,7 @@
     def _forget(self, session: str, entry: Entry) -> None:
         if self.table.get(session) is entry:
             del self.table[session]
+            self._unseat(session, entry)
             if not entry.stands:
                 self.open_set_ups -= 1
         self._leave(session, entry)
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -14,7 +14,7 @@
 from lotuspick.protocol import rtsp
 from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
 from lotuspick.routing.endings import Ending
-from lotuspick.routing.ports import Dropped, Inbound, ViewerCame, ViewerLost
+from lotuspick.routing.ports import Dropped, Inbound, Viewer, ViewerCame, ViewerLost
 from lotuspick.transport.base import Reactor, lost, now_us
 
 log = logging.getLogger(__name__)
@@ -167,9 +167,9 @@
     noisy = False
 
     def __init__(self, reactor: Reactor, post: Callable[[Inbound], None], ready: Callable[[], bool],
-                 classes: frozenset[str], most: int, in_use: Callable[[RtspViewer], bool]) -> None:
+                 classes: frozenset[str], most: int, spare: Callable[[], Viewer | None]) -> None:
         self.reactor, self.post, self.ready, self.classes = reactor, post, ready, classes
-        self.most, self.in_use = most, in_use
+        self.most, self.spare = most, spare
         self.viewers: dict[RtspViewer, None] = {}
 
     def buildProtocol(self, addr: object) -> RtspViewer:
@@ -178,10 +178,11 @@
     def opened(self, viewer: RtspViewer) -> None:
         if len(self.viewers) >= self.most:
             # One without an open set-up may be closed; where there is none, the newcomer has to go.
-            idle = next((each for each in self.viewers if each.open and not self.in_use(each)), viewer)
-            idle.drop(Ending.CROWDED)
-            if idle is viewer:
+            idle = self.spare()
+            if not isinstance(idle, RtspViewer):
+                viewer.drop(Ending.CROWDED)
                 return
+            idle.drop(Ending.CROWDED)
         self.viewers[viewer] = None
         self.post(ViewerCame(viewer))
 
