--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -214,12 +214,12 @@
     def _asked(self, item: Asked, now: int) -> list[Event]:
         request, session = item.request, item.request.session
         held = self.table.get(session)
-        if isinstance(request, SessionPlaying):
-            return self._handed_over(request, held, item.viewer)
         seat = self.viewers.pop(item.viewer, None) if item.viewer is not None else None
         if seat is not None and item.viewer is not None:
             self.viewers[item.viewer] = seat
             seat.asked += 1
+        if isinstance(request, SessionPlaying):
+            return self._handed_over(request, held, item.viewer)
         if held is not None and not held.stands and item.viewer is not None:
             # Sent again after a close that it crossed: one request, one answer.
             self._unseat(session, held)
