Answer an open id to its own viewer alone, and close or slow down bad clients

A trace of what came in and what was answered shows: a second connection that names an open id with another description got its answer (routing/loop.py _asked took any newcomer for a resend); home:9999 and top:99 were taken (protocol/rtsp.py); one connection sent hundreds of set-ups under one id; half messages and silence were kept for 10 s or for ever (transport/viewers.py); one sender had 3,800 malformed set-ups answered as fast as it sent them. Ruled out: the edges' answers, which were true. Now a resend must be the same request, twice on one connection costs the connection, figures off the site are 400, silence and half messages end after 2 s, and after three faults a connection is read every 0.25 s only.

--- a/lotuspick/plugin.py
+++ b/lotuspick/plugin.py
@@ -134,6 +134,9 @@
     def failed(self, session: str, why: str = "") -> None:
         self.tell(Failed(session))
 
+    def abandon(self, why: str) -> None:
+        """Only a connection can be closed."""
+
     def released(self, session: str, ending: Ending) -> None:
         self.tell(Released(session, ending))
 
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -16,6 +16,7 @@
 from lotuspick.interface import ServerList, TenantRates
 from lotuspick.program.config import Config, ConfigError
 from lotuspick.protocol.coordinator import Change
+from lotuspick.protocol.rtsp import Terms
 from lotuspick.routing.loop import Loop
 from lotuspick.routing.ports import Directory, Edges, Roster, Tenants
 from lotuspick.transport.base import Reactor, now_us
@@ -52,8 +53,9 @@
             nodes = NodePool(reactor, self.nodes, limits.dial_s, self._post, self._standing)
             edges = Switch(nodes, self.edges)
         classes = frozenset(each.name for each in config.settings.classes)
+        self.terms = Terms(classes, config.settings.cells, len(config.settings.ladder_kb))
         self.loop = Loop(self.module, edges, now_us, self._wake, config.period_us, classes)
-        self.front = RtspFront(reactor, self._post, self._ready, classes, config.sockets // 2,
+        self.front = RtspFront(reactor, self._post, self._ready, self.terms, config.sockets // 2,
                                self.loop.spare)
         self.feed = Feed(reactor, config.coordinator_address, config.index, self._changed)
         ldap = config.tenants.ldap
@@ -88,7 +90,7 @@
         """The second front; what it needs is imported only where it is on, for a quick start elsewhere."""
         from lotuspick.transport.hints import HintsFront
 
-        hints = HintsFront(self.reactor, self._post, self._ready, self.loop.classes)
+        hints = HintsFront(self.reactor, self._post, self._ready, self.terms)
         front = self.reactor.listenTCP(self.config.hints.port, hints.site(self.config.sockets // 6),
                                        backlog=BACKLOG, interface=self.config.hints.host)
         log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(front.getHost())})
--- a/lotuspick/protocol/rtsp.py
+++ b/lotuspick/protocol/rtsp.py
@@ -18,6 +18,7 @@
 MOST_HEADERS = 64
 EDGE_HEAD = 256  # what an edge message holds beside description and title, with room to spare
 MOST_LEFT_MS = 24 * 3_600_000
+KEPT_MS = 60_000  # a viewer that would wait longer is answered within this: nothing is kept for hours
 METHODS = frozenset({"SETUP", "TEARDOWN", "OPTIONS", "ANNOUNCE", "REDIRECT", "SET_PARAMETER"})
 
 SERVED, BAD_REQUEST, NO_BANDWIDTH, FAILED, NOT_READY, NOT_IMPLEMENTED = 200, 400, 453, 500, 503, 501
@@ -30,6 +31,15 @@
 BREAK = 41
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a set-up may name."""
+
+    classes: frozenset[str]
+    cells: int
+    rungs: int
+
+
 @dataclass(slots=True)
 class Message:
     """A request (``method`` and ``address`` set) or a response (``status`` set)."""
@@ -76,9 +86,7 @@
         if self._message is None:
             if text:  # empty lines between messages are allowed
                 self._message = _start(text)
-            else:
-                self._size = 0
-            return None
+            return None  # they count towards the bound all the same: nobody sends them without end
         if not text:
             length = whole(self._message.header("Content-Length"), "Content-Length")
             fits(self._size + length, "message")
@@ -128,10 +136,10 @@
     return figures
 
 
-def read_set_up(message: Message, now_us: int, classes: frozenset[str],
-                viewer: Viewer | None = None) -> Asked:
-    """The set-up that a SETUP asks for. ``now_us``: when it was read, for its deadline."""
-    if message.header("P-Kind") not in classes:
+def read_set_up(message: Message, now_us: int, terms: Terms, viewer: Viewer | None = None) -> Asked:
+    """The set-up that a SETUP asks for. ``now_us``: when it was read, for its deadline. Guards against
+    figures that no viewer of this site has: a home past the cells would be taken for another title's."""
+    if message.header("P-Kind") not in terms.classes:
         raise ProtocolFault(f"P-Kind is unknown: {message.header('P-Kind')[:40]!r}")
     title = message.address[len(BASE):]
     if not title:
@@ -142,12 +150,12 @@
     for name in ("home", "copies", "top"):
         if name not in figures:
             raise ProtocolFault(f"P-Path has no {name}")
-    left_ms = whole(message.header("P-Time-Left"), "P-Time-Left", 0, MOST_LEFT_MS)
+    left_ms = min(whole(message.header("P-Time-Left"), "P-Time-Left", 0, MOST_LEFT_MS), KEPT_MS)
     common = {
         "session": message.session, "cls": message.header("P-Kind"), "title": title,
-        "home": whole(figures["home"], "P-Path home", 0, 1_000_000),
-        "copies": whole(figures["copies"], "P-Path copies", 1, 1_000_000),
-        "ceiling": whole(figures["top"], "P-Path top", 0, 1_000),
+        "home": whole(figures["home"], "P-Path home", 0, terms.cells - 1),
+        "copies": whole(figures["copies"], "P-Path copies", 1, terms.cells),
+        "ceiling": whole(figures["top"], "P-Path top", 0, terms.rungs - 1),
         "deadline_us": now_us + left_ms * 1_000,
         "length_us": _hint(message.headers.get("x-length")),
         "viewer": figures.get("viewer", ""), "tenant": message.headers.get("p-billed", ""),
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -11,7 +11,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from lotuspick.interface import (
@@ -220,8 +220,12 @@
             seat.asked += 1
         if isinstance(request, SessionPlaying):
             return self._handed_over(request, held, item.viewer)
-        if held is not None and not held.stands and item.viewer is not None:
-            # Sent again after a close that it crossed: one request, one answer.
+        if held is not None and not held.stands and item.viewer is held.viewer and item.viewer is not None:
+            item.viewer.abandon(f"Session {session} is asked for twice")  # which answer would be whose?
+            return []
+        if held is not None and not held.stands and item.viewer is not None and self._same(held, item):
+            # Sent again after a close that it crossed: one request, one answer. Guards against a stranger
+            # that names another's open id and would get its answer: nobody else knows the description.
             self._unseat(session, held)
             held.viewer = item.viewer
             self._seat(session, held)
@@ -239,6 +243,10 @@
         self._after(request.deadline_us, lambda later: self._overdue(session, request))
         return [request]
 
+    def _same(self, held: Entry, item: Asked) -> bool:
+        return (held.description == item.description
+                and replace(held.request, deadline_us=0) == replace(item.request, deadline_us=0))
+
     def _handed_over(self, request: SessionPlaying, held: Entry | None, viewer: Viewer | None) -> list[Event]:
         if held is not None or request.cls not in self.classes:
             return []
--- a/lotuspick/routing/ports.py
+++ b/lotuspick/routing/ports.py
@@ -33,6 +33,9 @@
     def released(self, session: str, ending: Ending) -> None:
         """A session that stood is over."""
 
+    def abandon(self, why: str) -> None:
+        """Its peer cannot be told apart from itself any more: say why and close."""
+
 
 @dataclass(frozen=True, slots=True)
 class SetUp:
--- a/lotuspick/transport/hints.py
+++ b/lotuspick/transport/hints.py
@@ -94,6 +94,9 @@
         self._answer(FAILED, why.encode())
         self.front.over(self, Ending.EDGE_ERROR)
 
+    def abandon(self, why: str) -> None:
+        """An id in use is turned away before it gets as far as the loop."""
+
     def released(self, session: str, ending: Ending) -> None:
         self.front.over(self, ending)
 
@@ -102,8 +105,8 @@
     """All players of this front, by session."""
 
     def __init__(self, reactor: Reactor, post: Callable[[Inbound], None], ready: Callable[[], bool],
-                 classes: frozenset[str]) -> None:
-        self.reactor, self.post, self.ready, self.classes = reactor, post, ready, classes
+                 terms: rtsp.Terms) -> None:
+        self.reactor, self.post, self.ready, self.terms = reactor, post, ready, terms
         self.players: dict[str, HttpPlayer] = {}
         self.ended: OrderedDict[str, Ending] = OrderedDict()
 
@@ -203,7 +206,7 @@
                                headers={name: header(request, name) for name in FIELDS
                                         if has(request, name)})
         session = message.session
-        asked = rtsp.read_set_up(message, now_us(), self.front.classes)
+        asked = rtsp.read_set_up(message, now_us(), self.front.terms)
         if isinstance(asked.request, SessionPlaying):
             raise ProtocolFault("P-Path at is not taken here")
         if session in self.front.players:
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -19,7 +19,9 @@
 
 log = logging.getLogger(__name__)
 
-PART_WAY_S = 10.0  # a message begun and not finished within this costs its sender the connection
+PART_WAY_S = 2.0  # a message begun and not finished within this costs its sender the connection; so does
+# saying nothing for so long at first: who has no request to make takes up a descriptor
+FAULTS, REST_S = 3, 0.25  # malformed messages on one connection before each further one has it rest so long
 UNREAD_S = 5.0  # so does not reading what was written for so long
 
 
@@ -39,6 +41,9 @@
         self._body = b""
         self._part_way: Any = None
         self._unread: Any = None
+        self._resting: Any = None
+        self._faults = 0
+        self._spoken = False  # a whole message has come
 
     # ---- connection ---------------------------------------------------------------------------------------
 
@@ -46,12 +51,14 @@
         self.open = True
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
+        self._part_way = self.front.reactor.callLater(PART_WAY_S, self.drop, Ending.SILENT)
         self.front.opened(self)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self.open = False
         self._part_way = self._stop(self._part_way)
         self._unread = self._stop(self._unread)
+        self._resting = self._stop(self._resting)
         self.front.closed(self, lost(reason))
 
     def pauseProducing(self) -> None:
@@ -80,10 +87,10 @@
 
     def dataReceived(self, data: bytes) -> None:
         super().dataReceived(data)
-        waiting = self._decoder.part_way or bool(self.line_mode and self._buffer)
+        waiting = self.open and (self._decoder.part_way or bool(self.line_mode and self._buffer))
         if waiting and self._part_way is None:
             self._part_way = self.front.reactor.callLater(PART_WAY_S, self.drop, Ending.SILENT)
-        elif not waiting:
+        elif not waiting and self._spoken:
             self._part_way = self._stop(self._part_way)
 
     def lineReceived(self, line: bytes) -> None:
@@ -118,22 +125,44 @@
             self.transport.loseConnection()
             self.clearLineBuffer()
 
+    def abandon(self, why: str) -> None:
+        self._malformed(why)
+
+    def _rest(self) -> None:
+        """Guards against a viewer that sends what is turned away again as fast as it hears so: nothing is
+        read from it for a moment, so that it costs the others nothing."""
+        self._faults += 1
+        if self._faults > FAULTS and self._resting is None:
+            self.paused = True  # not pauseProducing: that is what the transport says when nobody reads
+            self.transport.pauseProducing()
+            self._resting = self.front.reactor.callLater(REST_S, self._rested)
+
+    def _rested(self) -> None:
+        self._resting = None
+        self.paused = False
+        self.transport.resumeProducing()
+        self.dataReceived(b"")
+
     def _message(self, message: rtsp.Message) -> None:
+        # A busy viewer may always be part way in some message: only one that takes too long counts.
+        self._part_way, self._spoken = self._stop(self._part_way), True
         if not message.method:
             return  # a release heard; it means nothing
-        cseq = message.headers.get("cseq", rtsp.CSEQ.get(message.method, "0"))
+        cseq = message.headers.get("cseq", "")
+        cseq = cseq if cseq.isdigit() else rtsp.CSEQ.get(message.method, "0")
         try:
             match message.method:
                 case "SETUP":
-                    self.front.post(rtsp.read_set_up(message, now_us(), self.front.classes, self))
+                    self.front.post(rtsp.read_set_up(message, now_us(), self.front.terms, self))
                 case "TEARDOWN":
                     self.front.post(Dropped(message.session))
                     self._write(rtsp.response(rtsp.SERVED, cseq, message.session))
                 case "OPTIONS":
                     status = rtsp.SERVED if self.front.ready() else rtsp.NOT_READY
-                    self._write(rtsp.response(status, cseq, message.headers.get("session", "")))
+                    named = message.session if "session" in message.headers else ""
+                    self._write(rtsp.response(status, cseq, named))
                 case _:
-                    pass  # notes, moves and rungs want no answer, and viewers have none to give
+                    raise ProtocolFault(f"{message.method} is for viewers to hear")
         except ProtocolFault as fault:
             log.info("malformed message from a viewer", extra={"method": message.method, "fault": str(fault)})
             try:
@@ -141,6 +170,7 @@
             except ProtocolFault:
                 session = ""
             self._write(rtsp.response(rtsp.BAD_REQUEST, cseq, session, why=str(fault)))
+            self._rest()
 
     # ---- writing ------------------------------------------------------------------------------------------
 
@@ -167,8 +197,8 @@
     noisy = False
 
     def __init__(self, reactor: Reactor, post: Callable[[Inbound], None], ready: Callable[[], bool],
-                 classes: frozenset[str], most: int, spare: Callable[[], Viewer | None]) -> None:
-        self.reactor, self.post, self.ready, self.classes = reactor, post, ready, classes
+                 terms: rtsp.Terms, most: int, spare: Callable[[], Viewer | None]) -> None:
+        self.reactor, self.post, self.ready, self.terms = reactor, post, ready, terms
         self.most, self.spare = most, spare
         self.viewers: dict[RtspViewer, None] = {}
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -20,7 +20,7 @@
 from lotuspick.transport.edges import EdgeConnection, EdgeLimits, EdgeLink, EdgePool, Queued
 
 ID = "9b1f03aa5c7e2d41"
-CLASSES = frozenset({"paid"})
+TERMS = rtsp.Terms(frozenset({"paid"}), cells=12, rungs=5)
 HEAD = [b"SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0", b"CSeq: 1", f"Session: {ID}".encode(), b"P-Kind: paid",
         b"P-Time-Left: 1500", b"X-Length: 8200.0", b"P-Path: home:4;copies:3;top:4;viewer:00000000b4d65521;again:1",
         b"Content-Length: 3", b""]
@@ -36,7 +36,7 @@
     def test_a_set_up(self) -> None:
         message = decode(HEAD, b"abc")
         assert message is not None
-        asked = rtsp.read_set_up(message, 1_000_000, CLASSES)
+        asked = rtsp.read_set_up(message, 1_000_000, TERMS)
         request = asked.request
         self.assertEqual((request.session, request.cls, request.title), (ID, "paid", "7f3a9c21e0b4d655"))
         self.assertEqual((request.home, request.copies, request.ceiling), (4, 3, 4))
@@ -55,23 +55,28 @@
             with self.subTest(bad), self.assertRaisesRegex(ProtocolFault, fault):
                 message = decode(lines, b"abc")
                 assert message is not None
-                rtsp.read_set_up(message, 0, CLASSES)
+                rtsp.read_set_up(message, 0, TERMS)
 
     def test_a_hint_that_makes_no_sense_is_none(self) -> None:
         for text in (b"nan", b"-1", b"long", b"inf", b"0"):
             message = decode([line.replace(b"8200.0", text) for line in HEAD], b"abc")
             assert message is not None
-            self.assertIsNone(rtsp.read_set_up(message, 0, CLASSES).request.length_us)
+            self.assertIsNone(rtsp.read_set_up(message, 0, TERMS).request.length_us)
+
+    def test_nobody_is_waited_for_for_hours(self) -> None:
+        message = decode([line.replace(b"1500", b"86400000") for line in HEAD], b"abc")
+        assert message is not None
+        self.assertEqual(rtsp.read_set_up(message, 0, TERMS).request.deadline_us, rtsp.KEPT_MS * 1_000)
 
     def test_what_no_edge_message_could_hold_is_turned_away_at_the_door(self) -> None:
         for size, good in ((MOST_BYTES - 300, True), (MOST_BYTES - 200, False)):
             message = rtsp.Message("SETUP", rtsp.BASE + "t" * 16, headers={
                 "session": ID, "p-kind": "paid", "p-time-left": "9", "p-path": "home:0;copies:1;top:0"}, body=b"x" * size)
             if good:
-                edge.set_up(SetUp(ID, "paid", "t" * 16, 2, 9, rtsp.read_set_up(message, 0, CLASSES).description))
+                edge.set_up(SetUp(ID, "paid", "t" * 16, 2, 9, rtsp.read_set_up(message, 0, TERMS).description))
             else:
                 with self.assertRaisesRegex(ProtocolFault, "too long"):
-                    rtsp.read_set_up(message, 0, CLASSES)
+                    rtsp.read_set_up(message, 0, TERMS)
 
     def test_the_bound_holds_for_heads_and_bodies(self) -> None:
         for lines in ([HEAD[0], *(b"h%d: %s" % (n, b"x" * 1_000) for n in range(20))],
@@ -87,7 +92,7 @@
             for line in lines:
                 length = decoder.line(line)
                 if length is not None:
-                    rtsp.read_set_up(decoder.body(b"x" * length), 0, CLASSES)
+                    rtsp.read_set_up(decoder.body(b"x" * length), 0, TERMS)
         except ProtocolFault as fault:
             self.assertTrue(str(fault))
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -161,6 +161,30 @@
         """)
 
 
+    def test_a_stranger_does_not_get_the_answer_to_an_open_id(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam body=mine
+            e0 expect OPENED
+            e0 expect SETUP s1
+            v2 send SETUP s1 kind=exam body=other
+            v2 expect 500 s1 reason=~use
+            e0 send ANSWER s1 body=x
+            v1 expect 200 s1 body=x
+            v2 expect NOTHING
+        """)
+
+    def test_two_requests_under_one_number_cost_their_sender_the_connection(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam
+            e0 expect OPENED
+            e0 expect SETUP s1
+            v1 send SETUP s1 kind=exam
+            v1 expect 400 reason=~twice
+            v1 expect CLOSED
+            e0 expect RELEASE s1 cause=16
+        """)
+
+
 class Silence(Scenario):
     def test_a_machine_that_takes_no_connection_is_unreachable(self) -> None:
         self.play("""
@@ -361,10 +385,47 @@
             v1 expect 400 s2 reason=~P-Time-Left
             v1 send SETUP s3 path=home:0;copies:0;top:1
             v1 expect 400 s3 reason=~copies
-            v1 send OPTIONS
-            v1 expect 200
+            v1 send SETUP s4 path=home:4;copies:1;top:1
+            v1 expect 400 s4 reason=~home
+            v1 send SETUP s5 path=home:0;copies:1;top:3
+            v1 expect 400 s5 reason=~top
+            v2 send ANNOUNCE s5
+            v2 expect 400 s5 reason=~ANNOUNCE
+            v2 send OPTIONS
+            v2 expect 200
         """)
 
+    def test_who_says_nothing_or_half_a_message_is_closed_soon(self) -> None:
+        for raw in (b"", b"\r\n", b"SETUP rtsp://media/a RTSP/1.0\r\nCSeq: 1\r\n",
+                    b"SETUP rtsp://media/a RTSP/1.0\r\nContent-Length: 9\r\n\r\nhalf"):
+            with self.subTest(raw):
+                self.play(f"""
+                    v1 send RAW {raw!r}
+                    v1 expect CLOSED
+                """)
+        blank = b"\r\n" * 10_000
+        self.play(f"""
+            v1 send RAW {blank!r}
+            v1 expect 400
+            v1 expect CLOSED
+        """)
+
+    def test_who_asks_wrongly_again_and_again_is_read_slowly(self) -> None:
+        bad = self.WRONG * 5
+        self.play(f"""
+            v1 send RAW {bad!r}
+            v1 expect 400 reason=~P-Kind
+            v1 expect 400 reason=~P-Kind
+            v1 expect 400 reason=~P-Kind
+            v1 expect 400 reason=~P-Kind
+            v2 send OPTIONS
+            v2 expect 200
+            v1 expect 400 reason=~P-Kind
+        """)
+
+    WRONG = (b"SETUP rtsp://media/aa00 RTSP/1.0\r\nCSeq: 1\r\nSession: 0000000000000001\r\nP-Kind: none\r\n"
+             b"Content-Length: 0\r\n\r\n")
+
     def test_an_edge_that_breaks_the_framing_loses_its_connection(self) -> None:
         for raw in (b"\x00\x03\x09ab", b"\xff\xff", b"\x00\x0c\x09" + bytes(8) + b"\x82\x00\x09"):
             with self.subTest(raw):
