Tell a failed request or connection from a server that is gone

Checked against the sockets: every ejection followed a bad client's request, set-ups beside it were answered in 30 ms; a reset connection can be dialled again at once. At fault: control.py _judge took one failure of any cause for a sick server, and then paced it as one that starts; transport/edges.py closed() took a reset for a death. Ruled out: links short of rate (first attempts and answers in time), the list. Now an ending says whether the server is known to live (routing/endings.py ALIVE), and such failures count only three in a row; who refuses the next dial is gone (ServerDown); a start told later than a session ends it; servers that left are forgotten once nothing stands there.

--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -2,8 +2,8 @@
 
 Mechanism: popularity-based bandwidth prepartitioning (PBP) with f2 sizing. Each server's link is split into
 length pools sized by popularity x length of the hints heard; a session enters where the pools at or below its
-own length have room, drawing from its own pool first and then downward, at the highest rung that fits, which
-it keeps. If nothing fits it is held for a moment and then refused. docs/design.md tells the exceptions.
+own length have room, drawing from its own first and then downward, at the highest rung that fits and is kept.
+If none does it is held for a moment, then refused. docs/design.md tells the exceptions.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from typing import Any, TypeGuard
 
 from lotuspick.interface import (Action, ClassSettings, Ended, Event, Fail, Log, Note, Refuse, Send,
-                                PlayerHint, ServerEntry, ServerHint, ServerList, SessionPlaying,
+                                PlayerHint, ServerDown, ServerEntry, ServerHint, ServerList, SessionPlaying,
                                 SessionRequest, SetRung, SetTimer, Settings, Started, Subscribe,
                                 TenantRates, TimerFired, ViewerGone)
 
@@ -50,6 +50,7 @@
 UNHEARD = 0.6  # share of a line taken as asked where nothing, or full lines alone, is heard: busy, not full
 LEAD_US = 20_000  # us: answers are given so long before a deadline: two ticks of a gateway
 EJECT_US = 1_000_000  # us: first ejection after a failed set-up; doubles with each further failure
+STRIKES = 3  # failures in a row before a server that lives rests: bad requests fail singly, everywhere alike
 EJECT_MAX_US = 8_000_000  # us: longest ejection: about the time in which machines come back
 FULL_US = 500_000  # us: rest of a server that answers full, and further hold of a session not started
 CUT_GAP_US = 1_000_000  # us between cuts at a server, beyond what notes are late: they come once a second
@@ -58,8 +59,7 @@
 NEWS_US = 5_000_000  # us: a gateway that starts hears so soon of servers that started shortly before
 PACE_PART = 0.6  # share of the slow-start budget that is used: leaves slack for chance
 CROSS_BIAS = 0.5  # load that a crossing counts as, for each unit of its price: crossing costs little
-HINT_UP, HINT_DOWN = 0.05, 0.02  # share of a link by which hints raise and lower its load at most: a few
-# points, under SPREAD; lowered less, since sessions drawn to a full link cost more than some sent past it
+HINT_UP, HINT_DOWN = 0.05, 0.02  # share of a link by which hints move its load: down less, the costly error
 HINT_US = 4_000_000  # us: a hint stands so long: about the time between load notes
 HINT_SLACK = 0.10  # share of a link by which a server's estimate may be off and still agree with a reading
 HINT_SOURCES = 4_096  # sources whose trust is kept; the one longest unheard goes first
@@ -148,6 +148,7 @@
     cold_until: int = 0
     first_us: int = 0  # when the first send to it while cold is due
     fails: int = 0
+    strikes: int = 0  # set-ups that failed since the last start
     blocked_until: int = 0
     short_us: int = -NEVER  # last note of a short share
     cut_after: int = 0
@@ -199,8 +200,7 @@
         self.held: dict[str, Session] = {}
         self.seats: dict[tuple[str, str], int] = {}
         self.window: deque[tuple[int, int, float]] = deque()  # hints heard lately
-        self.hint_count = [0] * POOLS
-        self.hint_us = [0.0] * POOLS
+        self.hint_count, self.hint_us = [0] * POOLS, [0.0] * POOLS
         self.taken, self.extra = deque[int](), deque[int]()  # requests and further attempts, for the budget
         self.trust: dict[str, float] = {}  # of each source of hints that was judged
         self.tenant_rates = dict(settings.tenant_rates)
@@ -223,8 +223,7 @@
                 raise ValueError(f"unknown event {type(event).__name__}")
             if isinstance(event, SessionRequest) and event.cls not in self.classes:
                 raise ValueError(f"session {event.session}: unknown class {event.cls!r}")
-        self.now = now
-        self.out = []
+        self.now, self.out = now, []
         if self.started_us is None:
             self.started_us = now
             if self.settings.must_subscribe:
@@ -235,8 +234,10 @@
         if now - self.checked_us >= POLL_US * 10:
             self.checked_us = now
             self.free_from = min(FREE_MOST, self.free_from + FREE_RISE)
-            for server in self.servers.values():
-                if server.own and now - server.settled_us > STALE_NOTES * self.settings.tell_us > 0:
+            for name, server in list(self.servers.items()):
+                if not (server.listed or server.own):
+                    del self.servers[name]  # guards against growing with every id that was ever listed
+                elif server.own and now - server.settled_us > STALE_NOTES * self.settings.tell_us > 0:
                     self._restore(server, None)
         return self.out
 
@@ -347,7 +348,7 @@
         error = event.took_us - self.setup_us
         self.setup_us += error / 8
         self.setup_dev += (abs(error) - self.setup_dev) / 4
-        server.fails = max(0, server.fails - 1)
+        server.fails, server.strikes = max(0, server.fails - 1), 0
         if server.cold_until == NEVER:
             server.cold_until = self.now + self.settings.cold_us
 
@@ -359,11 +360,10 @@
         session = self.sessions.get(event.session)
         if session is None or session.attempt != event.attempt or session.state == "held":
             return
-        was_playing = session.state == "playing"
         if server is not None:
-            self._judge(server, event.outcome)
+            self._judge(server, event.outcome, event.alive)
         self._release(session)
-        if event.final or session.ended or was_playing or event.outcome == "served":
+        if event.final or session.ended or session.state == "playing" or event.outcome == "served":
             del self.sessions[event.session]
             return
         session.state, session.server = "held", None
@@ -379,23 +379,30 @@
             session.hold_until = min(max(session.hold_until, self.now + FULL_US), last)
             self._hold(session)
 
-    def _judge(self, server: Server, outcome: str) -> None:
-        """Health: eject a server, with backoff, on failed set-ups and lost sessions, whatever the cause.
-        Harm: one chance error rests a good server for a second."""
+    def _judge(self, server: Server, outcome: str, alive: bool) -> None:
+        """Health: eject a server, with backoff, on a failure, or on a few in a row where they are known to be
+        of the attempt or its connection alone. Harm: a sick one that lives fails a few before it rests."""
         if outcome in ("served", "cancelled", "unsent"):
             return
         if outcome == "full":
             server.blocked_until = max(server.blocked_until, self.now + FULL_US)
             return
+        server.strikes += 1
+        if alive and server.strikes < STRIKES:
+            return
         if self.now >= server.blocked_until:  # what fails together counts, and is logged, once
             server.fails += 1
             rest = min(EJECT_MAX_US, EJECT_US << min(server.fails - 1, 10))
             server.blocked_until = self.now + rest
             self.out.append(Log(f"eject {server.entry.server} {outcome} {rest // 1000} ms"))
-        if outcome in ("lost", "unreachable", "timeout"):
+        if outcome == "timeout" or not alive and outcome != "error":
             # A failure witnessed is a start expected: the slow-start pace holds until a warm-up later.
             self._expect_start(server, NEVER)
 
+    def _on_down(self, event: ServerDown) -> None:
+        if server := self.servers.get(event.server):
+            self._judge(server, "unreachable", False)
+
     def _on_note(self, note: Note) -> None:
         server = self.servers.get(note.server)
         session = self.sessions.get(note.session)
@@ -601,7 +608,7 @@
             self._count(-1, *self.window.popleft()[1:])
         total = sum(us for us, count in zip(self.hint_us, self.hint_count) if count)
         if not total:  # nothing heard yet: every range counts as equally popular
-                return [typical / sum(TYPICAL_US) for typical in TYPICAL_US]
+            return [typical / sum(TYPICAL_US) for typical in TYPICAL_US]
         # Departure: a range without hints has popularity 0, as in the paper, and gets nothing: the fixed cuts
         # often leave one range all hints, and the idle, longer ranges would get most of the link.
         return [us / total if count else 0.0 for us, count in zip(self.hint_us, self.hint_count)]
@@ -721,12 +728,9 @@
         self._send(session, best[0], best[1][0], best[1][1])
         return True
 
-    def _healthy(self, server: Server) -> bool:
-        return server.listed and server.entry.state == "active" and self.now >= server.blocked_until
-
     def _usable(self, server: Server) -> bool:
-        streams = len(server.own) + server.other_streams
-        return self._healthy(server) and streams < server.places and self._pace_left(server)
+        return (server.listed and server.entry.state == "active" and self.now >= server.blocked_until
+                and len(server.own) + server.other_streams < server.places and self._pace_left(server))
 
     def _pace(self, server: Server) -> tuple[int, int]:
         """Slow start: this gateway's part of what a cold server takes, as sends in any such window."""
@@ -780,8 +784,7 @@
         wait = left - LEAD_US // 2
         if session.cls.effect == "safe" and session.attempt + 1 < self.settings.max_attempts:
             wait = min(wait, max(WAIT_MIN_US, int(self.setup_us + 4 * self.setup_dev)))
-        self.out.append(SetRung(name, rung))
-        self.out.append(Send(name, server.entry.server, wait))
+        self.out += [SetRung(name, rung), Send(name, server.entry.server, wait)]
         self._timer(left - LEAD_US // 2, name)
 
     def _release(self, session: Session) -> None:
@@ -829,5 +832,6 @@
     ServerList: Controller._on_list, SessionRequest: Controller._on_request,
     SessionPlaying: Controller._on_playing, Started: Controller._on_started, Ended: Controller._on_ended,
     Note: Controller._on_note, PlayerHint: Controller._on_player_hint, ServerHint: Controller._on_server_hint,
-    TenantRates: Controller._on_tenants, ViewerGone: Controller._on_gone, TimerFired: Controller._on_timer,
+    TenantRates: Controller._on_tenants, ServerDown: Controller._on_down, ViewerGone: Controller._on_gone,
+    TimerFired: Controller._on_timer,
 }
--- a/lotuspick/interface.py
+++ b/lotuspick/interface.py
@@ -255,6 +255,15 @@
     took_us: int = 0
     report: Mapping[str, float] = field(default_factory=dict)
     """Load report: any of ``streams``, ``link``, ``rack``."""
+    alive: bool = False
+    """The attempt or its connection failed alone: nothing shows that the server's process is gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerDown:
+    """The process or machine of a server was found to be gone; the ends of its sessions are told apart."""
+
+    server: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -322,7 +331,7 @@
 
 
 Event = (ServerList | SessionRequest | Started | Ended | Note | PlayerHint | ServerHint | TenantRates
-         | ViewerGone | TimerFired)
+         | ServerDown | ViewerGone | TimerFired)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotuspick/routing/endings.py
+++ b/lotuspick/routing/endings.py
@@ -19,7 +19,7 @@
     TURNED_AWAY = "turned-away"
     MOOT = "moot"
     # Bytes may have left: the attempt may have run.
-    RESET = "reset"  # the connection was reset: the process behind it died
+    RESET = "reset"  # the connection was reset; whether its process died shows at the next dial
     CLOSED = "closed"  # the other side closed in order, with the attempt open on it
     SILENT = "silent"  # the machine gives no sign and takes no new connection
     MALFORMED = "malformed"  # the other side broke the framing and lost its connection
@@ -32,6 +32,7 @@
     # A session that stood.
     FINISHED = "finished"
     CUT = "cut"
+    DOWN = "down"  # its process takes no connection any more, so that it died, and its sessions with it
     REVOKED = "revoked"  # moved, or ended by its viewer
     # Connections only.
     IDLE = "idle"
@@ -62,6 +63,7 @@
     Ending.OVERRULED: "cancelled",
     Ending.FINISHED: "served",
     Ending.CUT: "lost",
+    Ending.DOWN: "lost",
     Ending.REVOKED: "cancelled",
     Ending.IDLE: "lost",
     Ending.CROWDED: "lost",
@@ -69,4 +71,8 @@
 }
 """What the module is told. The one place where endings become outcomes."""
 
+ALIVE = frozenset({Ending.DIAL_FAILED, Ending.RESET, Ending.CLOSED, Ending.MALFORMED, Ending.BROKEN,
+                   Ending.MOVED, Ending.EDGE_ERROR, Ending.NO_ANSWER})
+"""An attempt that ends so tells of itself or its connection alone, not that the server's process is gone."""
+
 NEVER_RAN = frozenset({"unreachable", "full", "unsent"})
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -23,6 +23,7 @@
     Note,
     Refuse,
     Send,
+    ServerDown,
     SessionPlaying,
     SessionRequest,
     SetRung,
@@ -32,7 +33,7 @@
     TimerFired,
     ViewerGone,
 )
-from lotuspick.routing.endings import OUTCOMES, Ending
+from lotuspick.routing.endings import ALIVE, OUTCOMES, Ending
 from lotuspick.routing.ports import (
     Asked,
     AttemptOver,
@@ -110,7 +111,7 @@
             Asked: self._asked, Dropped: self._dropped, ViewerLost: self._viewer_lost,
             ViewerCame: self._viewer_came, EdgeAnswered: self._answered, EdgeReleased: self._edge_released,
             EdgeNoted: self._noted, AttemptOver: self._attempt_over, EdgeDown: self._edge_down,
-            Roster: lambda item, now: [item.news], Hinted: lambda item, now: [item.hint],
+            Roster: self._roster, Hinted: lambda item, now: [item.hint],
             Tenants: lambda item, now: [item.news],
         }
 
@@ -219,7 +220,7 @@
             self.viewers[item.viewer] = seat
             seat.asked += 1
         if isinstance(request, SessionPlaying):
-            return self._handed_over(request, held, item.viewer)
+            return self._handed_over(request, held, item.viewer, now)
         if held is not None and not held.stands and item.viewer is held.viewer and item.viewer is not None:
             item.viewer.abandon(f"Session {session} is asked for twice")  # which answer would be whose?
             return []
@@ -247,10 +248,11 @@
         return (held.description == item.description
                 and replace(held.request, deadline_us=0) == replace(item.request, deadline_us=0))
 
-    def _handed_over(self, request: SessionPlaying, held: Entry | None, viewer: Viewer | None) -> list[Event]:
+    def _handed_over(self, request: SessionPlaying, held: Entry | None, viewer: Viewer | None,
+                     now: int) -> list[Event]:
         if held is not None or request.cls not in self.classes:
             return []
-        entry = Entry(request, viewer=viewer, edge=request.server, attempt=0, stands=True)
+        entry = Entry(request, viewer=viewer, edge=request.server, attempt=0, sent_us=now, stands=True)
         self._put(request.session, entry)
         self._seat(request.session, entry)
         self.edges.watch(request.server)
@@ -334,12 +336,21 @@
         return [self._ended(item.session, entry, item.ending, now)]
 
     def _edge_down(self, item: EdgeDown, now: int) -> list[Event]:
+        return [ServerDown(item.edge), *self._cut(item.edge, item.ending, now, now)]
+
+    def _roster(self, item: Roster, now: int) -> list[Event]:
+        """Guards against sessions left standing at a process that died and came back before it was dialled: a
+        start cuts what stood before it."""
         events: list[Event] = []
-        for session in sorted(self.by_edge.get(item.edge, ())):
-            entry = self.table[session]
-            if entry.stands:  # attempts on its connection have been reported one by one
-                events.append(self._over(session, entry, item.ending, now))
-        return events
+        for entry in item.news.servers:
+            events.extend(self._cut(entry.server, Ending.DOWN, now, entry.started_us))
+        return [*events, item.news]
+
+    def _cut(self, edge: str, ending: Ending, now: int, before_us: int) -> list[Event]:
+        """End what stands at an edge server since before a time; attempts are reported one by one."""
+        there = sorted(self.by_edge.get(edge, ())) if before_us else []
+        return [self._over(session, entry, ending, now) for session in there
+                if (entry := self.table[session]).stands and entry.sent_us < before_us]
 
     # ---- endings ------------------------------------------------------------------------------------------
 
@@ -347,7 +358,7 @@
         """An attempt that is out ends without an answer; the request stays open."""
         log.debug("attempt over", extra={"session": session, "edge": entry.edge, "ending": ending.value})
         event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], False, now - entry.sent_us,
-                      report or {})
+                      report or {}, ending in ALIVE)
         entry.out = False
         self._leave(session, entry)
         return event
@@ -377,7 +388,7 @@
         if self.edges.give_up(entry.edge, session):
             ending = Ending.UNSENT  # it never left the queue
         event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], final,
-                      self.clock() - entry.sent_us)
+                      self.clock() - entry.sent_us, {}, ending in ALIVE)
         entry.out = False
         self._leave(session, entry)
         return event
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -218,14 +218,14 @@
         log.info("edge not reached", extra={"edge": self.edge, "ending": ending.value})
         self._fail_queue(ending)
         self.dials += 1
-        if not self.pool.standing(self.edge):
-            return
-        if ending is Ending.DIAL_FAILED and self.dials < LOCAL_DIALS:
+        if ending is Ending.DIAL_REFUSED:
+            self.down(Ending.DOWN)  # a process that refuses has died, and has cut what it held
+        elif not self.pool.standing(self.edge) or ending is Ending.DIAL_FAILED and self.dials < LOCAL_DIALS:
             return  # tried again by the sweep
-        if ending is Ending.DIAL_REFUSED or self.dials >= DIALS:
+        elif self.dials >= DIALS:
             # Guards against sessions left standing: nothing will ever tell the end of what a machine held
-            # that vanished, and a process that refuses has cut what it held.
-            self.down(Ending.RESET if ending is Ending.DIAL_REFUSED else Ending.SILENT)
+            # that vanished.
+            self.down(Ending.SILENT)
         else:
             self.dial()
 
@@ -246,7 +246,9 @@
         self.pool.post(EdgeDown(self.edge, ending))
 
     def closed(self, connection: EdgeConnection, ending: Ending) -> None:
-        """The connection is over. Set-ups open on it are given up; sessions stand on, unless it was reset."""
+        """The connection is over. Set-ups open on it are given up; sessions stand on. Guards against a reset
+        taken for a death: many are reset while their process lives on, and whether it does shows at once in a
+        new dial, which a dead one refuses."""
         log.info("edge connection over", extra={"edge": self.edge, "ending": ending.value})
         if OUTCOMES[ending] in NEVER_RAN:
             # Guards against a paid set-up that goes out twice: what was written may have run, however its
@@ -260,10 +262,8 @@
         if connection is not self.connection:
             return
         self.connection = None
-        if ending is Ending.RESET:
-            self.pool.post(EdgeDown(self.edge, ending))
-        elif (self.pool.standing(self.edge) and ending is not Ending.SILENT
-              and self.pool.reactor.seconds() - self.up_s > BRIEF_S):
+        if ((ending is Ending.RESET or self.pool.standing(self.edge) and ending is not Ending.SILENT)
+                and self.pool.reactor.seconds() - self.up_s > BRIEF_S):
             self.dial()  # what ends there is told on the next connection; the sweep dials after brief ones
 
     # ---- receiving ----------------------------------------------------------------------------------------
--- a/lotuspick/transport/nodes.py
+++ b/lotuspick/transport/nodes.py
@@ -160,7 +160,7 @@
     def _no_events(self, reason: Failure, node: Node) -> None:
         why = ending(reason)
         if why is Ending.DIAL_REFUSED or self.reactor.seconds() - node.heard_s > SILENCE_S:
-            self.post(EdgeDown(node.name, Ending.RESET if why is Ending.DIAL_REFUSED else Ending.SILENT))
+            self.post(EdgeDown(node.name, Ending.DOWN if why is Ending.DIAL_REFUSED else Ending.SILENT))
             node.index, node.heard_s = 0, self.reactor.seconds()
         self.reactor.callLater(AGAIN_S, self._poll, node)
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -324,7 +324,10 @@
         self.tell({"index": len(self.events) + 1, "endpoints": {"version": 1, "full": full, "servers": servers}})
 
     def send(self, kind: str, session: str, fields: dict[str, str]) -> None:
-        self.update(False, [self.world.entry(kind, fields["state"], fields.get("address", kind))])
+        entry = self.world.entry(kind, fields["state"], fields.get("address", kind))
+        if "started" in fields:
+            entry["started_ms"] = int(time.time() * 1_000)
+        self.update(False, [entry])
 
     def close(self, how: str = "") -> None:
         if how == "quiet":
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from helpers import SECOND, controller, of, place, request, servers, settings
+from helpers import SECOND, controller, entry, of, place, request, servers, settings
 
 from lotuspick.control import BIND_FROM, CALM_US, FADE_US, FRESH_US, LIMIT, Controller
 from lotuspick.interface import (
@@ -11,6 +11,8 @@
     Ended,
     Note,
     Refuse,
+    ServerDown,
+    ServerList,
     SessionPlaying,
     SetRung,
     Started,
@@ -196,6 +198,40 @@
     assert waits[2] - waits[1] > waits[1] - waits[0] >= SECOND
 
 
+@pytest.mark.parametrize("outcome", ["error", "lost", "timeout"])
+def test_a_server_known_to_live_is_left_out_only_for_failures_in_a_row(outcome: str) -> None:
+    """Bad requests and spoilt connections fail one by one at every server: they must not empty the fleet."""
+    made = controller(count=1)
+    for number in range(6):
+        assert place(made, NOW + number, f"good{number}", copies=1) is not None
+        assert place(made, NOW + number, f"bad{number}", copies=1) is not None
+        made.handle(NOW + number, [Started(f"good{number}", 0, "s0"), Ended(f"good{number}", 0, "s0", "served", final=True),
+                                   Ended(f"bad{number}", 0, "s0", outcome, final=True, alive=True)])
+    assert made.servers["s0"].cold_until <= NOW
+    for number in range(6, 8):  # with the last one above three in a row
+        assert place(made, NOW + number, f"bad{number}", copies=1) is not None
+        made.handle(NOW + number, [Ended(f"bad{number}", 0, "s0", outcome, final=True, alive=True)])
+    assert place(made, NOW + 10, "after", copies=1) is None
+
+
+def test_a_server_found_gone_is_left_out_and_expected_to_start() -> None:
+    made = controller(count=1)
+    made.handle(NOW, [ServerDown("s0"), ServerDown("unknown")])
+    assert place(made, NOW + 1, "a", copies=1) is None
+    assert made.servers["s0"].cold_until > NOW + 60 * SECOND
+
+
+def test_servers_that_left_are_forgotten() -> None:
+    made = controller(count=1)
+    place(made, NOW, "a", copies=1)
+    for number in range(50):
+        made.handle(NOW + number * 2 * SECOND, [ServerList([entry(1, server=f"x{number}")], complete=True)])
+    assert set(made.servers) == {"s0", "x49"}  # a session holds the first
+    made.handle(NOW + 100 * SECOND, [Ended("a", 0, "s0", "lost", final=True)])
+    made.handle(NOW + 102 * SECOND, [])
+    assert set(made.servers) == {"x49"}
+
+
 def test_a_session_about_to_end_is_not_raised() -> None:
     for left, raised in ((2e6, False), (60e6, True), (None, True)):
         made = controller(count=1, change_cost_s=0.5)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -142,7 +142,8 @@
                 state = world.open[name]
                 outcome = data.draw(st.sampled_from(OUTCOMES))
                 events.append(Ended(name, state["attempts"] - 1, state["out"], outcome,
-                                    final=outcome == "served" or state["answered"] or state["gone"]))
+                                    final=outcome == "served" or state["answered"] or state["gone"],
+                                    alive=data.draw(st.booleans())))
         elif kind == "gone" and pending:
             events.append(ViewerGone(data.draw(st.sampled_from(pending))))
         elif kind == "note":
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -198,6 +198,26 @@
             v1 expect TEARDOWN s1 why=cause=41
         """)
 
+    def test_a_reset_connection_does_not_end_what_stands_at_a_process_that_lives(self) -> None:
+        self.play(PLAYING + """
+            e0 wait 1.1
+            e0 close reset
+            e0 expect OPENED
+            v1 expect NOTHING
+            v1 send SETUP s2 kind=exam
+            e0 expect SETUP s2
+            e0 send ANSWER s2 body=two
+            v1 expect 200 s2 body=two
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+        """)
+
+    def test_a_start_told_by_the_coordinator_ends_what_stood_before_it(self) -> None:
+        self.play(PLAYING + """
+            c send e0 state=up started=later
+            v1 expect TEARDOWN s1 why=cause=41
+        """)
+
     def test_a_machine_that_vanishes_ends_its_sessions(self) -> None:
         self.play(PLAYING + """
             e0 close silent
