Drop second copies of answers, and replace edge connections that are mute or spoilt

Traced to routing/loop.py _answered: any answer without a set-up out was released at the edge, so a second copy cut the session that stood rightly. Now only what was given up at that edge is released on a late answer; half a message costs the connection after 0.25 s; one that says nothing for 0.3 s after a set-up is replaced; what may stand behind a lost answer is released on the next connection; a machine is gone only after three dials that time out with nothing heard for 1.5 s. Decisions unchanged.

--- a/lotuspick/protocol/edge.py
+++ b/lotuspick/protocol/edge.py
@@ -10,7 +10,7 @@
 from lotuspick.routing.endings import Ending
 from lotuspick.routing.ports import EdgeAnswered, EdgeNoted, EdgeReleased, SetUp
 
-SET_UP, ANSWER, RELEASE, HEARD, NOTE, RUNG = 1, 9, 12, 16, 44, 60
+SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, NOTE, TESTED, RUNG = 1, 6, 9, 12, 16, 44, 53, 60
 CLASS, WAIT, TITLE, TOPIC, REPORT = 100, 102, 108, 114, 118
 LEVEL, FIGURE, CAUSE, DESCRIPTION = 122, 124, 128, 130
 
@@ -104,7 +104,9 @@
         topic = TOPICS.get(message.text(TOPIC, "topic"))
         value = _figure(message.text(FIGURE, "figure"))
         return None if topic is None or value is None else EdgeNoted(edge, message.session, topic, value)
-    return None  # progress, releases heard and whatever later versions add
+    if message.kind not in (PROGRESS, HEARD, TESTED):
+        raise ProtocolFault(f"type {message.kind} is none of an edge server's")  # noise that fits a frame
+    return None
 
 
 def report(message: Message) -> dict[str, float]:
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -57,6 +57,7 @@
 
 MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
 OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
+GIVEN_UP_US = 10_000_000  # an answer to a set-up that was given up may come so late
 FRESH_US = 1_000_000  # a connection so new may be about to ask ...
 FRESH_COUNTS = 3  # ... and goes after those of viewers that asked once, but before those that many share
 MS = 1_000
@@ -104,6 +105,7 @@
         self.viewers: dict[Viewer, Seat] = {}  # connections on which a release can go out, last to ask last
         self.by_viewer: dict[Viewer, set[str]] = {}
         self.owed: deque[tuple[int, str, Ending]] = deque()  # releases that found no viewer connection
+        self.given_up: dict[str, tuple[int, str]] = {}  # set-ups taken back after they left: when, and where
         self.due: list[tuple[int, int, Callable[[int], Event | None]]] = []
         self.ticked_us, self.woken_us, self.timers = 0, 0, 0
         self.open_set_ups = 0
@@ -168,6 +170,8 @@
             event = heapq.heappop(self.due)[2](now)
             if event is not None:
                 events.append(event)
+        while self.given_up and next(iter(self.given_up.values()))[0] < now - GIVEN_UP_US:
+            del self.given_up[next(iter(self.given_up))]
         while self.owed and self.owed[0][0] <= now:
             log.warning("release never sent", extra={"session": self.owed.popleft()[1]})
         if events:
@@ -308,8 +312,11 @@
     def _answered(self, item: EdgeAnswered, now: int) -> list[Event]:
         entry = self.table.get(item.session)
         if entry is None or entry.edge != item.edge or not entry.out:
-            # Given up while the answer was on its way: nothing may be left standing.
-            self.edges.release(item.edge, item.session, Ending.REVOKED)
+            # Given up while the answer was on its way: nothing may be left standing. Guards against a release
+            # that cuts what stands rightly: a second copy of an answer, and one to an id that was never asked
+            # for there, are dropped.
+            if self.given_up.pop(item.session, (0, ""))[1] == item.edge:
+                self.edges.release(item.edge, item.session, Ending.REVOKED)
             return []
         entry.out, entry.stands = False, True
         self.open_set_ups -= 1
@@ -387,6 +394,8 @@
     def _take_back(self, session: str, entry: Entry, ending: Ending, final: bool) -> Event:
         if self.edges.give_up(entry.edge, session):
             ending = Ending.UNSENT  # it never left the queue
+        else:
+            self.given_up[session] = (self.ticked_us, entry.edge)
         event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], final,
                       self.clock() - entry.sent_us, {}, ending in ALIVE)
         entry.out = False
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -24,13 +24,16 @@
 log = logging.getLogger(__name__)
 
 MOST_QUEUED = 256  # messages that wait for one connection
-SWEEP_S = 0.25
+SWEEP_S = 0.1
 UNKNOWN_S = 3.0  # a server without an address, on which sessions stand, may be named within this
-DIALS = 2  # dials that time out before a machine where sessions stand is taken for gone
+DIALS = 3  # dials that time out before a machine where sessions stand is taken for gone, if it has ...
+SILENT_S = 1.5  # ... said nothing for so long on what is open: one that is slow to accept has not vanished
 LOCAL_DIALS = 12  # the same for dials that fail at once, without a word from the other side
 BRIEF_S = 1.0  # a connection that ended so soon is not dialled again at once
 RELEASE_DIALS = 40  # dials that time out before releases that wait are dropped
-SUSPECT_S = 1.0  # an attempt that times out, with nothing heard for so long, has its machine checked at once
+MUTE_S = 0.3  # a connection that says nothing for so long after a set-up is replaced; most answer in 0.1 s
+PART_WAY_S = 0.25  # a message from an edge server that is not whole by then never will be
+MOST_DOUBTFUL = 64  # set-ups that may stand unheard, released on the next connection
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,10 +59,13 @@
         self.link = link
         self.up = False
         self.unread_since: float | None = None
+        self.part_since: float | None = None  # a message has begun and is not whole
+        self.heard_s = 0.0
         self.ending: Ending | None = None  # why this side closed it
 
     def connectionMade(self) -> None:
         self.up = True
+        self.heard_s = self.link.pool.reactor.seconds()
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
@@ -76,7 +82,17 @@
     def stopProducing(self) -> None:
         pass
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        if not self.recvd:
+            self.part_since = None
+        elif self.part_since is None:
+            self.part_since = self.link.pool.reactor.seconds()
+
     def stringReceived(self, string: bytes) -> None:
+        if not self.up:
+            return  # what came behind a message that cost the connection
+        self.part_since = None
         try:
             self.link.received(self, wire.decode(string))
         except ProtocolFault as fault:
@@ -103,6 +119,18 @@
     session: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A set-up that was written and has no answer yet."""
+
+    connection: EdgeConnection
+    at_s: float
+
+    def mute(self, now_s: float) -> bool:
+        """Whether the connection has said nothing since, for longer than it should."""
+        return self.connection.heard_s < self.at_s < now_s - MUTE_S
+
+
 class EdgeLink:
     """What leads to one edge server: its connection, and what waits for one."""
 
@@ -113,7 +141,8 @@
         self.dialing = False
         self.dials = 0  # dials that timed out in a row
         self.queue: deque[Queued] = deque()
-        self.open: dict[str, EdgeConnection] = {}  # set-ups sent and not answered
+        self.open: dict[str, Sent] = {}  # set-ups sent and not answered
+        self.doubtful: deque[str] = deque(maxlen=MOST_DOUBTFUL)
         self.replaced: list[EdgeConnection] = []  # by a newer one; they close once no set-up is open on them
         self.heard_s = self.used_s = self.up_s = pool.reactor.seconds()
 
@@ -141,7 +170,7 @@
 
     def _write(self, connection: EdgeConnection, item: Queued) -> None:
         if item.session:
-            self.open[item.session] = connection
+            self.open[item.session] = Sent(connection, self.pool.reactor.seconds())
         self.used_s = self.pool.reactor.seconds()
         connection.sendString(item.frame)
 
@@ -182,6 +211,9 @@
         self.heard_s = self.used_s = self.up_s = self.pool.reactor.seconds()
         if old is not None:
             self._replace(old)
+        while self.doubtful:
+            # Guards against what stands for nobody: an answer that came spoilt or not at all has run.
+            connection.sendString(wire.release(self.doubtful.popleft(), Ending.REVOKED))
         while self.queue:
             self._write(connection, self.queue.popleft())
 
@@ -200,18 +232,32 @@
     def _close_replaced(self) -> None:
         """Guards against a paid set-up that is lost with a connection that was only slow: a new one proves
         that the machine is there, and the old one stays until its set-ups have ended."""
-        for old in [each for each in self.replaced if each not in self.open.values()]:
+        used = {sent.connection for sent in self.open.values()}
+        for old in [each for each in self.replaced if each not in used]:
             self.replaced.remove(old)
             if old.up:
                 old.ending, old.up = Ending.IDLE, False
                 old.transport.loseConnection()
 
-    def end_set_up(self, session: str) -> EdgeConnection | None:
+    def end_set_up(self, session: str) -> None:
         """A set-up is answered or given up."""
-        connection = self.open.pop(session, None)
+        self.open.pop(session, None)
         if self.replaced:
             self._close_replaced()
-        return connection
+
+    def give_up(self, session: str) -> bool:
+        """Take a set-up back. True: it was still queued."""
+        if self.unqueue(session):
+            return True
+        sent = self.open.get(session)
+        if sent is not None and sent.connection.up:
+            sent.connection.sendString(wire.release(session, Ending.GIVEN_UP))
+            if sent.mute(self.pool.reactor.seconds()) or sent.connection is not self.connection:
+                self.doubtful.append(session)  # it may never have been read
+                if self.connection is sent.connection:
+                    self.dial()  # a machine that vanished takes no new connection: what it holds is over
+        self.end_set_up(session)
+        return False
 
     def _not_up(self, ending: Ending) -> None:
         self.dialing = False
@@ -220,13 +266,14 @@
         self.dials += 1
         if ending is Ending.DIAL_REFUSED:
             self.down(Ending.DOWN)  # a process that refuses has died, and has cut what it held
-        elif not self.pool.standing(self.edge) or ending is Ending.DIAL_FAILED and self.dials < LOCAL_DIALS:
-            return  # tried again by the sweep
-        elif self.dials >= DIALS:
+        elif not self.pool.standing(self.edge):
+            return
+        elif (self.dials >= (LOCAL_DIALS if ending is Ending.DIAL_FAILED else DIALS)
+              and self.pool.reactor.seconds() - self.heard_s > SILENT_S):
             # Guards against sessions left standing: nothing will ever tell the end of what a machine held
             # that vanished.
             self.down(Ending.SILENT)
-        else:
+        elif ending is not Ending.DIAL_FAILED:  # that fails at once, so it is tried again by the sweep
             self.dial()
 
     def _fail_queue(self, ending: Ending) -> None:
@@ -254,8 +301,9 @@
             # Guards against a paid set-up that goes out twice: what was written may have run, however its
             # connection came to be closed.
             ending = Ending.RESET
-        for session in [each for each, on in self.open.items() if on is connection]:
+        for session in [each for each, sent in self.open.items() if sent.connection is connection]:
             del self.open[session]
+            self.doubtful.append(session)
             self.pool.post(AttemptOver(self.edge, session, ending))
         if connection in self.replaced:
             self.replaced.remove(connection)
@@ -269,7 +317,7 @@
     # ---- receiving ----------------------------------------------------------------------------------------
 
     def received(self, connection: EdgeConnection, message: wire.Message) -> None:
-        self.heard_s = self.pool.reactor.seconds()
+        self.heard_s = connection.heard_s = self.pool.reactor.seconds()
         if log.isEnabledFor(logging.DEBUG):
             log.debug("edge says", extra={"edge": self.edge, "kind": message.kind, "session": message.session,
                                           "parameters": str(dict(message.parameters))[:200]})
@@ -295,6 +343,12 @@
             return
         if connection.unread_since is not None and now_s - connection.unread_since > limits.silence_s:
             connection.drop(Ending.SILENT, "does not read")
+        elif connection.part_since is not None and now_s - connection.part_since > PART_WAY_S:
+            # Guards against set-ups that follow a spoilt answer into a connection that nothing comes out of.
+            connection.drop(Ending.MALFORMED, "stopped short")
+        elif not self.replaced and any(sent.connection is connection and sent.mute(now_s)
+                                       for sent in self.open.values()):
+            self.dial()
         elif (standing or self.open) and now_s - self.heard_s > limits.silence_s:
             if self.address is None:
                 self.down(Ending.SILENT)
@@ -361,16 +415,7 @@
         return self._link(edge).send(Queued(wire.set_up(ask), ask.session))
 
     def give_up(self, edge: str, session: str) -> bool:
-        link = self._link(edge)
-        if link.unqueue(session):
-            return True
-        connection = link.open.get(session)
-        if connection is not None and connection.up:
-            connection.sendString(wire.release(session, Ending.GIVEN_UP))
-        link.end_set_up(session)
-        if self.reactor.seconds() - link.heard_s > SUSPECT_S:
-            link.dial()  # a machine that vanished takes no new connection: what it holds is over
-        return False
+        return self._link(edge).give_up(session)
 
     def release(self, edge: str, session: str, ending: Ending) -> None:
         self._link(edge).send(Queued(wire.release(session, ending)))
