Ask the coordinator again when it stops in the middle of an event

At fault: transport/bodies.py, whose canceller called abortConnection on the proxy that the agent hands out, which has none; the error took the place of the failure that the feed waits for, so that it never polled again. The same call stood where a body is too long.

--- a/lotuspick/transport/bodies.py
+++ b/lotuspick/transport/bodies.py
@@ -21,14 +21,19 @@
     transport: Any
 
     def __init__(self) -> None:
-        self.done: Deferred[bytes] = Deferred(lambda _: self.transport.abortConnection())
+        self.done: Deferred[bytes] = Deferred(lambda _: self._abandon())
         self.parts = b""
 
     def dataReceived(self, data: bytes) -> None:
         self.parts += data
         if len(self.parts) > MOST:
             self._finish(Failure(ProtocolFault("answer is too long")))
-            self.transport.abortConnection()
+            self._abandon()
+
+    def _abandon(self) -> None:
+        """Guards against a reader that never asks again: the agent hands out a proxy of its transport that
+        cannot abort, and an error in here would take the place of the failure that is waited for."""
+        self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self._finish(self.parts if reason.check(ResponseDone, PotentialDataLoss) else reason)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -271,7 +271,7 @@
                     self.close_connection = True
                     return
                 self.send_response(status)
-                for key, value in {**headers, "Content-Length": str(len(answer))}.items():
+                for key, value in {"Content-Length": str(len(answer)), **headers}.items():
                     self.send_header(key, value)
                 self.end_headers()
                 self.wfile.write(answer)
@@ -308,9 +308,11 @@
 
 
 class Coordinator(HttpActor):
-    """``c send e0 state=draining`` tells news; ``c close`` breaks off, ``c close quiet`` falls silent."""
+    """``c send e0 state=draining`` tells news; ``c close`` breaks off, ``c close quiet`` falls silent, ``c close 40``
+    stops after 40 bytes of its next news and stays open."""
 
     quiet = False
+    cut_short = 0  # so many bytes of a next answer go out, and then nothing more
 
     def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> tuple[int, dict, bytes]:
         if self.quiet:
@@ -318,7 +320,11 @@
             time.sleep(PATIENCE)
             return 0, {}, b""
         events, last = self.poll(int(query["follow"]), int(query["wait_ms"]))
-        return 200, {}, json.dumps({"index": last, "updates": events}).encode()
+        body = json.dumps({"index": last, "updates": events}).encode()
+        if self.cut_short and events:
+            cut, self.cut_short = self.cut_short, 0
+            return 200, {"Content-Length": str(len(body))}, body[:cut]
+        return 200, {}, body
 
     def update(self, full: bool, servers: list[Any]) -> None:
         self.tell({"index": len(self.events) + 1, "endpoints": {"version": 1, "full": full, "servers": servers}})
@@ -332,6 +338,8 @@
     def close(self, how: str = "") -> None:
         if how == "quiet":
             self.quiet = True
+        elif how.isdigit():
+            self.cut_short = int(how)
         else:
             super().close()
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -304,6 +304,16 @@
         """)
 
 
+    def test_a_coordinator_that_stops_mid_event_is_asked_again(self) -> None:
+        self.play("""
+            c close 40
+            c send e0 state=draining
+            c wait 2.5
+            v1 send SETUP s1 left=700
+            v1 expect 453 s1
+        """)
+
+
 class Reloading(Scenario):
     def test_sighup_moves_to_the_new_coordinator_and_keeps_all_else(self) -> None:
         self.play(PLAYING + """
