--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -128,27 +128,26 @@
         """Sessions and attempts at an edge server."""
         return len(self.by_edge.get(edge, ()))
 
-    def spare(self) -> Viewer | None:
-        """The viewer connection that can best be closed to make room; none with a set-up open can. Guards
+    def spare(self, most: int) -> list[Viewer]:
+        """The viewer connections that can best be closed to make room; none with a set-up open can. Guards
         against sessions that lose the way to their viewers: the connections that many share go last, after
-        those that say nothing, those on which nothing stands, and those of viewers that asked once."""
+        those that say nothing, those on which nothing stands, and those of viewers that asked once. Up to
+        ``most`` at once, shared ones singly: a crowd must not have all looked at for each newcomer."""
         now = self.clock()
         asking = {item.viewer for item in self.inbox if isinstance(item, Asked)}
-        best: Viewer | None = None
-        best_key = (3, 0)
-        for viewer, seat in self.viewers.items():
+        ranked: list[tuple[int, int, int, Viewer]] = []
+        for order, (viewer, seat) in enumerate(self.viewers.items()):  # last to ask last
             there = self.by_viewer.get(viewer, ())
             if not viewer.open or viewer in asking or any(not self.table[each].stands for each in there):
                 continue
             if there:
-                key = (2, seat.asked + len(there))
+                ranked.append((2, seat.asked + len(there), order, viewer))
             elif not seat.asked and now - seat.came_us < FRESH_US:
-                key = (2, FRESH_COUNTS)
+                ranked.append((2, FRESH_COUNTS, order, viewer))
             else:
-                key = (1 if seat.asked else 0, seat.asked)
-            if key < best_key:  # the first of equals: the one that has asked for nothing longest
-                best, best_key = viewer, key
-        return best
+                ranked.append((1 if seat.asked else 0, seat.asked, order, viewer))
+        best = heapq.nsmallest(most, ranked, key=lambda each: each[:3])
+        return [each[3] for at, each in enumerate(best) if not at or each[:2] <= (2, FRESH_COUNTS)]
 
     @property
     def owes(self) -> bool:
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -24,7 +24,7 @@
 log = logging.getLogger(__name__)
 
 MOST_QUEUED = 256  # messages that wait for one connection
-SWEEP_S = 0.1
+SWEEP_S, LATE_S = 0.1, 0.1
 UNKNOWN_S = 3.0  # a server without an address, on which sessions stand, may be named within this
 DIALS = 3  # dials that time out before a machine where sessions stand is taken for gone, if it has ...
 SILENT_S = 1.5  # ... said nothing for so long on what is open: one that is slow to accept has not vanished
@@ -367,8 +367,10 @@
                  standing: Callable[[str], int]) -> None:
         self.reactor, self.limits, self.post, self.standing = reactor, limits, post, standing
         self.links: dict[str, EdgeLink] = {}
+        self.swept_s = reactor.seconds()
 
     def start(self) -> None:
+        self.swept_s = self.reactor.seconds()
         self.reactor.callLater(SWEEP_S, self._sweep)
 
     def room(self) -> bool:
@@ -403,6 +405,9 @@
 
     def _sweep(self) -> None:
         self.reactor.callLater(SWEEP_S, self._sweep)
+        late_s, self.swept_s = self.reactor.seconds() - self.swept_s - SWEEP_S, self.reactor.seconds()
+        if late_s > LATE_S:
+            return  # guards against silence that is this process's own: what came meanwhile is not read yet
         now_s = self.reactor.seconds()
         for name, link in list(self.links.items()):
             link.sweep(now_s)
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +22,8 @@
 
 PART_WAY_S = 2.0  # a message begun and not finished within this costs its sender the connection; so does
 # saying nothing for so long at first: who has no request to make takes up a descriptor
+SPARED_PART = 32  # the part of all connections that is closed at once to make room
+COUNT_S = 1.0
 FAULTS, REST_S = 3, 0.25  # malformed messages on one connection before each further one has it rest so long
 UNREAD_S = 5.0  # so does not reading what was written for so long
 
@@ -74,7 +77,7 @@
 
     def drop(self, ending: Ending) -> None:
         """Close at once."""
-        log.info("viewer dropped", extra={"ending": ending.value})
+        self.front.count(ending)
         self.open = False
         self.transport.abortConnection()
 
@@ -197,10 +200,11 @@
     noisy = False
 
     def __init__(self, reactor: Reactor, post: Callable[[Inbound], None], ready: Callable[[], bool],
-                 terms: rtsp.Terms, most: int, spare: Callable[[], Viewer | None]) -> None:
+                 terms: rtsp.Terms, most: int, spare: Callable[[int], list[Viewer]]) -> None:
         self.reactor, self.post, self.ready, self.terms = reactor, post, ready, terms
         self.most, self.spare = most, spare
         self.viewers: dict[RtspViewer, None] = {}
+        self.dropped: Counter[str] = Counter()
 
     def buildProtocol(self, addr: object) -> RtspViewer:
         return RtspViewer(self)
@@ -208,14 +212,24 @@
     def opened(self, viewer: RtspViewer) -> None:
         if len(self.viewers) >= self.most:
             # One without an open set-up may be closed; where there is none, the newcomer has to go.
-            idle = self.spare()
-            if not isinstance(idle, RtspViewer):
-                viewer.drop(Ending.CROWDED)
+            idle = [each for each in self.spare(1 + self.most // SPARED_PART) if isinstance(each, RtspViewer)]
+            for each in idle or [viewer]:
+                each.drop(Ending.CROWDED)
+            if not idle:
                 return
-            idle.drop(Ending.CROWDED)
         self.viewers[viewer] = None
         self.post(ViewerCame(viewer))
 
+    def count(self, ending: Ending) -> None:
+        """Guards against a crowd that costs a log line for each one closed: they are told by the second."""
+        if not self.dropped:
+            self.reactor.callLater(COUNT_S, self._tell)
+        self.dropped[ending.value] += 1
+
+    def _tell(self) -> None:
+        log.info("viewers dropped", extra=dict(self.dropped))
+        self.dropped.clear()
+
     def closed(self, viewer: RtspViewer, ending: Ending) -> None:
         if viewer in self.viewers:
             del self.viewers[viewer]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -4,19 +4,30 @@
 
 import json
 import unittest
+from dataclasses import fields
 from typing import Any
+from unittest.mock import Mock
 
 from helpers import request
 from hypothesis import given
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
-from lotuspick.interface import Refuse, SessionRequest
+from lotuspick.interface import Refuse, SessionPlaying, SessionRequest
 from lotuspick.protocol import cmcd, cmsd, coordinator, edge, nodes, rtsp
 from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
 from lotuspick.routing.endings import NEVER_RAN, OUTCOMES, Ending
 from lotuspick.routing.loop import Loop
-from lotuspick.routing.ports import Asked, AttemptOver, EdgeAnswered, EdgeDown, EdgeNoted, EdgeReleased, SetUp
+from lotuspick.routing.ports import (
+    Asked,
+    AttemptOver,
+    EdgeAnswered,
+    EdgeDown,
+    EdgeNoted,
+    EdgeReleased,
+    SetUp,
+    ViewerCame,
+)
 from lotuspick.transport.edges import EdgeConnection, EdgeLimits, EdgeLink, EdgePool, Queued, Sent
 
 ID = "9b1f03aa5c7e2d41"
@@ -211,6 +222,40 @@
         self.assertEqual(len(logged.records), 2)
 
 
+class Crowds(unittest.TestCase):
+    """Which viewer connections make room."""
+
+    def test_a_crowd_that_says_nothing_is_closed_many_at_once_and_shared_connections_one_by_one(self) -> None:
+        made = Loop(Silent(), NoEdges(), lambda: 1_000, lambda at: None, 1_000, frozenset({"clip"}))
+        shared, crowd = [Mock(open=True) for _ in range(3)], [Mock(open=True) for _ in range(40)]
+        for viewer in shared:
+            made.post(ViewerCame(viewer))
+            for number in range(4):
+                made.post(Asked(SessionPlaying(**vars_of(request(f"{id(viewer)}-{number}")), server="s0"), viewer=viewer))
+        made.tick()
+        self.assertEqual(made.spare(8), shared[:1])
+        for viewer in crowd:
+            made.post(ViewerCame(viewer))
+        made.tick()
+        self.assertEqual(made.spare(8), crowd[:8])
+        made.post(Asked(request("new"), viewer=crowd[0]))  # it has asked, though nobody has looked yet
+        self.assertEqual(made.spare(8), crowd[1:9])
+
+
+def vars_of(made: SessionRequest) -> dict[str, Any]:
+    return {each.name: getattr(made, each.name) for each in fields(made)}
+
+
+class Silent:
+    def handle(self, now: int, events: list[Any]) -> list[Any]:
+        return []
+
+
+class NoEdges:
+    def watch(self, edge: str) -> None:
+        pass
+
+
 class EdgeLinks(unittest.TestCase):
     """A link without a socket, on a clock of the test's."""
 
@@ -230,6 +275,16 @@
             self.link.closed(connection, ending)
             self.assertNotIn(OUTCOMES[self.posted.pop().ending], NEVER_RAN, ending)
 
+    def test_silence_while_this_process_itself_stood_still_is_no_silence(self) -> None:
+        """What came meanwhile has not been read yet when the timers of a process that was held up fire."""
+        connection = self.link.connection = EdgeConnection(self.link)
+        connection.transport, connection.up, connection.part_since = Mock(), True, 0.0
+        self.pool.start()
+        self.clock.advance(3.0)
+        self.assertTrue(connection.up)
+        self.clock.advance(0.1)
+        self.assertFalse(connection.up)
+
     def test_no_descriptor_left_tells_nothing_of_the_server(self) -> None:
         self.link.address = ("127.0.0.1", 9)
         self.pool.limits = EdgeLimits(0.25, 27, 5, 32, connections=0)
