Let sessions play on after SIGTERM for as long as the platform leaves

At fault: program/daemon.py _stop_when_done, which ended all sessions as soon as no answer was owed. PROTOCOL leaves the longest deadline (3 s at most) and 0.7 s; what stands is now released 0.35 s before that, and the process leaves earlier where nothing stands. Ruled out: answers owed (none was late).

--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -28,6 +28,8 @@
 DEFAULT_DIAL_US = 250_000
 DEFAULT_IDLE_US = 30_000_000
 DEFAULT_STREAMS = 32
+LONGEST_US = 3_000_000  # a deadline counts as no more for the time that a planned end leaves
+AFTER_LAST_US = 700_000  # and it leaves so much beyond the longest
 SILENCE_US = 5_000_000  # least silence of a connection with sessions before it is checked
 
 
@@ -71,6 +73,8 @@
     dial_us: int
     idle_us: int
     silence_us: int
+    grace_us: int
+    """How long after SIGTERM this process may be sure to run."""
     streams_per_connection: int
     hints: HintsConfig
     tenants: TenantsConfig
@@ -116,6 +120,8 @@
         dial_us = whole(pairs, "Limits.DialTimeoutUs", DEFAULT_DIAL_US)
         idle_us = whole(pairs, "Limits.ConnIdleUs", DEFAULT_IDLE_US)
         tell_us, seen_us = whole(pairs, "FamilyInfo.TellUs", 0), whole(pairs, "FamilyInfo.SeenAfterUs", 0)
+        deadlines = [whole(pairs, f"Categories.{index}.HardLimitUs", LONGEST_US)
+                     for index in range(whole(pairs, "Categories.count", 0))]
         limits = _get(told, "limits", dict, {})
         return Config(
             name=_get(told, "name", str),
@@ -130,6 +136,7 @@
             period_us=max(1_000, whole(pairs, "PeriodUs", DEFAULT_PERIOD_US)),
             dial_us=dial_us or DEFAULT_DIAL_US,
             idle_us=idle_us or DEFAULT_IDLE_US,
+            grace_us=min(LONGEST_US, max(deadlines, default=LONGEST_US)) + AFTER_LAST_US,
             silence_us=max(SILENCE_US, tell_us + seen_us),
             streams_per_connection=max(1, whole(pairs, "Limits.StreamsPerConn", DEFAULT_STREAMS)),
             hints=hints or HintsConfig(),
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -29,6 +29,7 @@
 
 BACKLOG = 256
 STAY_S = 0.8  # after SIGTERM requests keep coming for 0.6 s; those up to 0.7 s are owed an answer
+LEAVE_S = 0.35  # what stands is released so long before SIGKILL may come: enough for a thousand releases
 LONGEST_S = 30.0  # no set-up waits longer for its answer
 IDLE_PART = 0.9  # this side closes idle connections first: a set-up must not cross the other side's close
 SECOND = 1_000_000
@@ -110,16 +111,22 @@
                                                     "rest": "same" if taken == config else "for a restart"})
 
     def stop(self) -> None:
-        """A planned end: go on accepting and answering, and exit once nothing is owed."""
+        """A planned end: go on accepting and answering, and exit once nothing is owed. Guards against
+        sessions cut before they must be: what stands plays on for as long as the platform leaves."""
         if self.stopping:
             return
         self.stopping = True
         log.info("stopping", extra={"sessions": len(self.loop.table)})
-        self.reactor.callLater(STAY_S, self._stop_when_done, self.reactor.seconds() + LONGEST_S)
+        now_s = self.reactor.seconds()
+        play_s = max(STAY_S, self.config.grace_us / SECOND - LEAVE_S)
+        self.reactor.callLater(STAY_S, self._stop_when_done, now_s + play_s, now_s + LONGEST_S)
 
-    def _stop_when_done(self, last_s: float) -> None:
-        if self.loop.owes and self.reactor.seconds() < last_s:
-            self.reactor.callLater(0.02, self._stop_when_done, last_s)
+    def _stop_when_done(self, play_until_s: float, last_s: float) -> None:
+        now_s = self.reactor.seconds()
+        if now_s >= play_until_s:
+            self.loop.end()
+        if now_s < last_s and (self.loop.owes or self.loop.table and now_s < play_until_s):
+            self.reactor.callLater(0.02, self._stop_when_done, play_until_s, last_s)
         else:
             self.loop.end()
             self.reactor.callLater(0.1, self.reactor.stop)  # what was just written leaves first
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -546,6 +546,17 @@
             b expect EXIT code=0
         """)
 
+    def test_what_stands_plays_on_for_as_long_as_a_planned_end_leaves(self) -> None:
+        self.play(PLAYING + """
+            b send TERM
+            b wait 1.5
+            e0 expect NOTHING
+            v1 expect NOTHING
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+            b expect EXIT code=0
+        """)
+
     def test_sigterm_with_nothing_owed(self) -> None:
         self.play("""
             b send TERM
