--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -3,8 +3,7 @@
 Mechanism: popularity-based bandwidth prepartitioning (PBP) with f2 sizing. Each server's link is split into
 length pools sized by popularity x length of the hints heard; a session enters where the pools at or below its
 own length have room, drawing from its own first and then downward, at the highest rung that fits and is kept.
-If none does it is held for a moment, then refused. docs/design.md tells the exceptions.
-"""
+If none does it is held for a moment, then refused. docs/design.md tells the exceptions."""
 
 from __future__ import annotations
 
@@ -68,8 +67,7 @@
 TENANT_US = 5_000_000  # us: a tenant's requests are counted over so long: short bursts are no excess
 SPREAD = 0.15  # share of a link: random part in the choice among holders, so gateways do not move as one
 
-NEVER = 1 << 62
-POOLS = len(CUTS_US) + 1
+NEVER, POOLS = 1 << 62, len(CUTS_US) + 1
 Averages = tuple[float, float]  # load of the middle link and of the middle uplink
 
 
@@ -146,6 +144,7 @@
     other_streams: float = 0.0  # streams of other gateways, where told
     sends: deque[int] = field(default_factory=lambda: deque(maxlen=256))
     cold_until: int = 0
+    guessed: bool = False  # nobody told of a start: this gateway alone is new, and cannot know
     first_us: int = 0  # when the first send to it while cold is due
     fails: int = 0
     strikes: int = 0  # set-ups that failed since the last start
@@ -205,9 +204,8 @@
         self.trust: dict[str, float] = {}  # of each source of hints that was judged
         self.tenant_rates = dict(settings.tenant_rates)
         self.asked: dict[str, deque[int]] = {}  # lately, by tenant
-        self.timers: dict[int, str] = {}
-        self.next_timer = 1
-        self.polling = False
+        self.timers, self.next_timer = dict[int, str](), 1
+        self.polling = self.handed_over = False
         self.started_us: int | None = None
         self.setup_us, self.setup_dev = float(SETUP_US), SETUP_US / 2  # smoothed time of a set-up, and spread
         self.out: list[Action] = []
@@ -257,8 +255,9 @@
                 server = self._new_server(entry)
             if fresh and first:
                 # Slow start: the list a gateway starts with may be old, but soon brings news of a start.
+                server.guessed, told_us = not entry.started_us, entry.started_us or -NEVER
                 server.cold_until = max(self.now + min(NEWS_US, self.settings.cold_us),
-                                        entry.started_us + self.settings.cold_us if entry.started_us else 0)
+                                        told_us + self.settings.cold_us)
             elif fresh or entry.started_us > server.entry.started_us:
                 self._expect_start(server, (entry.started_us or self.now) + self.settings.cold_us)
             server.entry = entry
@@ -310,7 +309,7 @@
         if ask.session in self.sessions:
             return
         session = Session(ask, self.classes[ask.cls], self._pool_of(ask.length_us))
-        session.state, session.attempt, session.told = "playing", 0, True
+        session.state, session.attempt, session.told, self.handed_over = "playing", 0, True, True
         session.ends_us = self.now + (ask.length_us if _valid(ask.length_us) else math.inf)
         # Departure: nobody here admitted it at its rung, so it counts as a cut session and may be raised.
         session.admitted = self._top(session)
@@ -733,18 +732,20 @@
                 and len(server.own) + server.other_streams < server.places and self._pace_left(server))
 
     def _pace(self, server: Server) -> tuple[int, int]:
-        """Slow start: this gateway's part of what a cold server takes, as sends in any such window."""
-        settings = self.settings
+        """Slow start: this gateway's part of what a cold server takes, as sends in any such window. All of it
+        where a start is but guessed by this one, new alone: where sessions are handed over, all start now."""
+        settings, alone = self.settings, server.guessed and not self.handed_over
         part = (PACE_PART * settings.fall_multiple * settings.cold_from * settings.fall_us * server.places
-                / max(1, settings.cold_us) / settings.gateways)
+                / max(1, settings.cold_us) / (1 if alone else settings.gateways))
         return max(1, int(part)), settings.fall_us if part >= 1 else int(settings.fall_us / part)
 
     def _expect_start(self, server: Server, cold_until: int) -> None:
         """A start was told, or is expected after a failure. The first send waits for a random part of the
         window: hundreds of gateways that hear of one start would each send at once, and count together."""
+        server.guessed = False
         if server.cold_until != NEVER or cold_until != NEVER:
-            wait = int(self._pace(server)[1] * self.random.random())
-            server.first_us = max(self.now, server.blocked_until) + wait
+            wait_us = int(self._pace(server)[1] * self.random.random())
+            server.first_us = max(self.now, server.blocked_until) + wait_us
             server.sends.clear()  # what was sent before was not to the one that starts
         server.cold_until = cold_until
 
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -62,6 +62,7 @@
         ldap = config.tenants.ldap
         self.directory: Directory | None = LdapDirectory(ldap) if ldap is not None else None
         self.stopping = False
+        self.listener: Any = None
         self._call: Any = None
 
     def run(self) -> None:
@@ -74,7 +75,8 @@
             self._changed(change)
         self.loop.tick()
         host, port = self.config.listen
-        port = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host).getHost().port
+        self.listener = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        port = self.listener.getHost().port
         if self.config.hints.enabled:
             self._open_hints()
         self.edges.start()
@@ -129,6 +131,8 @@
             self.reactor.callLater(0.02, self._stop_when_done, play_until_s, last_s)
         else:
             self.loop.end()
+            self.listener.stopListening()
+            self.front.finish()
             self.reactor.callLater(0.1, self.reactor.stop)  # what was just written leaves first
 
     def _read_tenants(self) -> None:
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -220,6 +220,14 @@
         self.viewers[viewer] = None
         self.post(ViewerCame(viewer))
 
+    def finish(self) -> None:
+        """Close all in order, once what was written has left. Guards against a set-up lost that comes while
+        the process ends: one that crosses a close is sent once more, elsewhere."""
+        for viewer in list(self.viewers):
+            if viewer.open:
+                viewer.open = False
+                viewer.transport.loseWriteConnection()
+
     def count(self, ending: Ending) -> None:
         """Guards against a crowd that costs a log line for each one closed: they are told by the second."""
         if not self.dropped:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -221,6 +221,18 @@
     assert made.servers["s0"].cold_until > NOW + 60 * SECOND
 
 
+def test_a_gateway_that_starts_alone_paces_guessed_starts_by_the_whole_budget_and_told_ones_by_its_part() -> None:
+    def sends(handed_over: bool, started_us: int) -> int:
+        made = Controller(settings(gateways=4, link_kb_per_weight=1e6), 7)
+        made.handle(NOW, [ServerList([entry(0, started_us=started_us)], complete=True)])
+        if handed_over:
+            made.handle(NOW, [playing("old")])
+        return sum(place(made, NOW + number, f"r{number}", copies=1) is not None for number in range(25))
+
+    # 0.6 of 2.5 times half its capacity, 30 places in 8 s, over 1.5 s: four; a fourth of it for each of four
+    assert [sends(False, 0), sends(True, 0), sends(False, NOW - SECOND)] == [4, 1, 1]
+
+
 def test_servers_that_left_are_forgotten() -> None:
     made = controller(count=1)
     place(made, NOW, "a", copies=1)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -542,6 +542,7 @@
         self.play(PLAYING + """
             b send TERM
             v1 expect TEARDOWN s1 why=cause=41
+            v1 expect CLOSED
             e0 expect RELEASE s1 cause=31
             b expect EXIT code=0
         """)
