--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -206,7 +206,7 @@
         self.asked: dict[str, deque[int]] = {}  # lately, by tenant
         self.timers, self.next_timer = dict[int, str](), 1
         self.polling = self.handed_over = False
-        self.started_us: int | None = None
+        self.starting = True
         self.setup_us, self.setup_dev = float(SETUP_US), SETUP_US / 2  # smoothed time of a set-up, and spread
         self.out: list[Action] = []
         self.now = self.checked_us = 0
@@ -222,10 +222,9 @@
             if isinstance(event, SessionRequest) and event.cls not in self.classes:
                 raise ValueError(f"session {event.session}: unknown class {event.cls!r}")
         self.now, self.out = now, []
-        if self.started_us is None:
-            self.started_us = now
-            if self.settings.must_subscribe:
-                self.out.append(Subscribe())
+        if self.starting and self.settings.must_subscribe:
+            self.out.append(Subscribe())
+        self.starting = False
         for event in events:
             HANDLERS[type(event)](self, event)
         self._serve_held()
@@ -255,9 +254,9 @@
                 server = self._new_server(entry)
             if fresh and first:
                 # Slow start: the list a gateway starts with may be old, but soon brings news of a start.
-                server.guessed, told_us = not entry.started_us, entry.started_us or -NEVER
+                server.guessed = not entry.started_us
                 server.cold_until = max(self.now + min(NEWS_US, self.settings.cold_us),
-                                        told_us + self.settings.cold_us)
+                                        entry.started_us + self.settings.cold_us if entry.started_us else 0)
             elif fresh or entry.started_us > server.entry.started_us:
                 self._expect_start(server, (entry.started_us or self.now) + self.settings.cold_us)
             server.entry = entry
@@ -309,7 +308,8 @@
         if ask.session in self.sessions:
             return
         session = Session(ask, self.classes[ask.cls], self._pool_of(ask.length_us))
-        session.state, session.attempt, session.told, self.handed_over = "playing", 0, True, True
+        self.handed_over = True
+        session.state, session.attempt, session.told = "playing", 0, True
         session.ends_us = self.now + (ask.length_us if _valid(ask.length_us) else math.inf)
         # Departure: nobody here admitted it at its rung, so it counts as a cut session and may be raised.
         session.admitted = self._top(session)
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -129,8 +129,7 @@
             self.loop.end()
         if now_s < last_s and (self.loop.owes or self.loop.table and now_s < play_until_s):
             self.reactor.callLater(0.02, self._stop_when_done, play_until_s, last_s)
-        else:
-            self.loop.end()
+        else:  # nothing stands any more: it has ended by itself, or just above
             self.listener.stopListening()
             self.front.finish()
             self.reactor.callLater(0.1, self.reactor.stop)  # what was just written leaves first
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -92,6 +92,15 @@
     asked: int = 0  # set-ups that it has carried
 
 
+def _discard(index: dict[Any, set[str]], key: Any, session: str) -> None:
+    """Take a session off an index, which keeps no key under which nothing is left."""
+    there = index.get(key)
+    if there is not None:
+        there.discard(session)
+        if not there:
+            del index[key]
+
+
 class Loop:
     """Holds the sessions of one broker; all times are whole microseconds of one clock."""
 
@@ -224,16 +233,17 @@
             seat.asked += 1
         if isinstance(request, SessionPlaying):
             return self._handed_over(request, held, item.viewer, now)
-        if held is not None and not held.stands and item.viewer is held.viewer and item.viewer is not None:
-            item.viewer.abandon(f"Session {session} is asked for twice")  # which answer would be whose?
-            return []
-        if held is not None and not held.stands and item.viewer is not None and self._same(held, item):
-            # Sent again after a close that it crossed: one request, one answer. Guards against a stranger
-            # that names another's open id and would get its answer: nobody else knows the description.
-            self._unseat(session, held)
-            held.viewer = item.viewer
-            self._seat(session, held)
-            return []
+        if held is not None and not held.stands and item.viewer is not None:
+            if item.viewer is held.viewer:
+                item.viewer.abandon(f"Session {session} is asked for twice")  # which answer would be whose?
+                return []
+            if self._same(held, item):
+                # Sent again after a close that it crossed: one request, one answer. Guards against a stranger
+                # that names another's open id and would get its answer: nobody else knows the description.
+                self._unseat(session, held)
+                held.viewer = item.viewer
+                self._seat(session, held)
+                return []
         if held is not None or request.cls not in self.classes:
             self._say(item.viewer, lambda viewer: viewer.failed(
                 session, "id in use" if held is not None else f"unknown class {request.cls}"))
@@ -363,16 +373,20 @@
     def _ended(self, session: str, entry: Entry, ending: Ending, now: int, report: Any = None) -> Event:
         """An attempt that is out ends without an answer; the request stays open."""
         log.debug("attempt over", extra={"session": session, "edge": entry.edge, "ending": ending.value})
-        event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], False, now - entry.sent_us,
-                      report or {}, ending in ALIVE)
+        event = self._tell(session, entry, ending, False, now, report)
         entry.out = False
         self._leave(session, entry)
         return event
 
+    def _tell(self, session: str, entry: Entry, ending: Ending, final: bool, now: int,
+              report: Any = None) -> Event:
+        """What the module is told of an end. A session that stood is cut by its server, whatever the word."""
+        return Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], final, now - entry.sent_us,
+                     report or {}, not entry.stands and ending in ALIVE)
+
     def _over(self, session: str, entry: Entry, ending: Ending, now: int, report: Any = None) -> Event:
         """A session that stood is over; its viewer hears of it unless it ended it."""
-        event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], True, now - entry.sent_us,
-                      report or {})
+        event = self._tell(session, entry, ending, True, now, report)
         self._forget(session, entry)
         if ending is not Ending.REVOKED:
             self._release(session, entry, ending, now)
@@ -395,8 +409,7 @@
             ending = Ending.UNSENT  # it never left the queue
         else:
             self.given_up[session] = (self.ticked_us, entry.edge)
-        event = Ended(session, entry.attempt, entry.edge, OUTCOMES[ending], final,
-                      self.clock() - entry.sent_us, {}, ending in ALIVE)
+        event = self._tell(session, entry, ending, final, self.clock())
         entry.out = False
         self._leave(session, entry)
         return event
@@ -405,24 +418,17 @@
         self.table[session] = entry
         self.by_edge.setdefault(entry.edge, set()).add(session)
 
+    def _leave(self, session: str, entry: Entry) -> None:
+        _discard(self.by_edge, entry.edge, session)
+        entry.edge = ""
+
     def _seat(self, session: str, entry: Entry) -> None:
         if entry.viewer is not None:
             self.by_viewer.setdefault(entry.viewer, set()).add(session)
 
     def _unseat(self, session: str, entry: Entry) -> None:
-        there = self.by_viewer.get(entry.viewer) if entry.viewer is not None else None
-        if there is not None and entry.viewer is not None:
-            there.discard(session)
-            if not there:
-                del self.by_viewer[entry.viewer]
-
-    def _leave(self, session: str, entry: Entry) -> None:
-        there = self.by_edge.get(entry.edge)
-        if there is not None:
-            there.discard(session)
-            if not there:
-                del self.by_edge[entry.edge]
-        entry.edge = ""
+        if entry.viewer is not None:
+            _discard(self.by_viewer, entry.viewer, session)
 
     def _forget(self, session: str, entry: Entry) -> None:
         if self.table.get(session) is entry:
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -169,9 +169,9 @@
         return None
 
     def _write(self, connection: EdgeConnection, item: Queued) -> None:
-        if item.session:
-            self.open[item.session] = Sent(connection, self.pool.reactor.seconds())
         self.used_s = self.pool.reactor.seconds()
+        if item.session:
+            self.open[item.session] = Sent(connection, self.used_s)
         connection.sendString(item.frame)
 
     def unqueue(self, session: str) -> bool:
@@ -367,7 +367,7 @@
                  standing: Callable[[str], int]) -> None:
         self.reactor, self.limits, self.post, self.standing = reactor, limits, post, standing
         self.links: dict[str, EdgeLink] = {}
-        self.swept_s = reactor.seconds()
+        self.swept_s = 0.0
 
     def start(self) -> None:
         self.swept_s = self.reactor.seconds()
@@ -405,10 +405,10 @@
 
     def _sweep(self) -> None:
         self.reactor.callLater(SWEEP_S, self._sweep)
-        late_s, self.swept_s = self.reactor.seconds() - self.swept_s - SWEEP_S, self.reactor.seconds()
+        now_s = self.reactor.seconds()
+        late_s, self.swept_s = now_s - self.swept_s - SWEEP_S, now_s
         if late_s > LATE_S:
             return  # guards against silence that is this process's own: what came meanwhile is not read yet
-        now_s = self.reactor.seconds()
         for name, link in list(self.links.items()):
             link.sweep(now_s)
             if link.address is None and link.connection is None and link.idle and not link.dialing:
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -22,10 +22,10 @@
 
 PART_WAY_S = 2.0  # a message begun and not finished within this costs its sender the connection; so does
 # saying nothing for so long at first: who has no request to make takes up a descriptor
-SPARED_PART = 32  # the part of all connections that is closed at once to make room
-COUNT_S = 1.0
-FAULTS, REST_S = 3, 0.25  # malformed messages on one connection before each further one has it rest so long
 UNREAD_S = 5.0  # so does not reading what was written for so long
+FAULTS, REST_S = 3, 0.25  # malformed messages on one connection before each further one has it rest so long
+SPARED_PART = 32  # the part of all connections that is closed at once to make room
+COUNT_S = 1.0  # connections closed are told together, so often
 
 
 @implementer(interfaces.IPushProducer)
