Count silence of an edge from when something is to be heard, and outlive last answers

Harmless at a busy broker, whose connections are never quiet for 5 s. Ruled out: death of the process (the dial came up), mute connections (0.3 s had not passed). Now silence counts from when the link was idle last, and a replaced connection stays 1 s past its last word. The lines 'edge dialled why=' and 'sent' are new at debug, to count across a fleet.

--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -489,6 +489,7 @@
         left_us = request.deadline_us - now
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
         attempt = entry.attempt
+        log.debug("sent", extra={"session": session, "edge": action.server, "rung": entry.rung})
         ending = self.edges.set_up(action.server, SetUp(
             session, request.cls, request.title, entry.rung, max(1, wait_us // MS), entry.description))
         if ending is not None:
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -31,6 +31,7 @@
 LOCAL_DIALS = 12  # the same for dials that fail at once, without a word from the other side
 BRIEF_S = 1.0  # a connection that ended so soon is not dialled again at once
 RELEASE_DIALS = 40  # dials that time out before releases that wait are dropped
+SETTLE_S = 1.0  # a replaced connection stays so long after its last word
 MUTE_S = 0.3  # a connection that says nothing for so long after a set-up is replaced; most answer in 0.1 s
 PART_WAY_S = 0.25  # a message from an edge server that is not whole by then never will be
 MOST_DOUBTFUL = 64  # set-ups that may stand unheard, released on the next connection
@@ -145,6 +146,7 @@
         self.doubtful: deque[str] = deque(maxlen=MOST_DOUBTFUL)
         self.replaced: list[EdgeConnection] = []  # by a newer one; they close once no set-up is open on them
         self.heard_s = self.used_s = self.up_s = pool.reactor.seconds()
+        self.idle_s = self.heard_s  # when nothing was to be heard from it, last
 
     @property
     def idle(self) -> bool:
@@ -165,7 +167,7 @@
         if len(self.queue) >= MOST_QUEUED:
             return Ending.QUEUE_FULL
         self.queue.append(item)
-        self.dial()
+        self.dial("to send")
         return None
 
     def _write(self, connection: EdgeConnection, item: Queued) -> None:
@@ -183,9 +185,11 @@
 
     # ---- connecting ---------------------------------------------------------------------------------------
 
-    def dial(self) -> None:
+    def dial(self, why: str) -> None:
+        """Open a connection, unless one is on its way; ``why`` is for whoever counts them in the log."""
         if self.dialing or self.address is None:
             return
+        log.debug("edge dialled", extra={"edge": self.edge, "why": why})
         if not self.pool.room():
             self._fail_queue(Ending.DIAL_FAILED)  # of this process alone: it tells nothing of the server
             return
@@ -203,7 +207,7 @@
         if address != self.address:  # the id moved, or its address went to another, while this was dialled
             connection.drop(Ending.MOVED)
             if self.address is not None:
-                self.dial()
+                self.dial("moved")
             else:
                 self._fail_queue(Ending.NO_ADDRESS)
             return
@@ -227,13 +231,13 @@
     def _replace(self, old: EdgeConnection) -> None:
         if old.up:
             self.replaced.append(old)
-            self._close_replaced()
 
-    def _close_replaced(self) -> None:
+    def _close_replaced(self, now_s: float) -> None:
         """Guards against a paid set-up that is lost with a connection that was only slow: a new one proves
-        that the machine is there, and the old one stays until its set-ups have ended."""
+        that the machine is there, and the old one stays until its set-ups have ended, and a little longer:
+        closed in the moment of its answer, it takes the session with it."""
         used = {sent.connection for sent in self.open.values()}
-        for old in [each for each in self.replaced if each not in used]:
+        for old in [each for each in self.replaced if each not in used and now_s - each.heard_s > SETTLE_S]:
             self.replaced.remove(old)
             if old.up:
                 old.ending, old.up = Ending.IDLE, False
@@ -242,8 +246,6 @@
     def end_set_up(self, session: str) -> None:
         """A set-up is answered or given up."""
         self.open.pop(session, None)
-        if self.replaced:
-            self._close_replaced()
 
     def give_up(self, session: str) -> bool:
         """Take a set-up back. True: it was still queued."""
@@ -255,7 +257,7 @@
             if sent.mute(self.pool.reactor.seconds()) or sent.connection is not self.connection:
                 self.doubtful.append(session)  # it may never have been read
                 if self.connection is sent.connection:
-                    self.dial()  # a machine that vanished takes no new connection: what it holds is over
+                    self.dial("given up")  # a machine that vanished takes no new one: what it holds is over
         self.end_set_up(session)
         return False
 
@@ -274,7 +276,7 @@
             # that vanished.
             self.down(Ending.SILENT)
         elif ending is not Ending.DIAL_FAILED:  # that fails at once, so it is tried again by the sweep
-            self.dial()
+            self.dial("again")
 
     def _fail_queue(self, ending: Ending) -> None:
         waiting, self.queue = self.queue, deque()
@@ -312,7 +314,7 @@
         self.connection = None
         if ((ending is Ending.RESET or self.pool.standing(self.edge) and ending is not Ending.SILENT)
                 and self.pool.reactor.seconds() - self.up_s > BRIEF_S):
-            self.dial()  # what ends there is told on the next connection; the sweep dials after brief ones
+            self.dial("lost")  # what ends there is told on the next connection; the sweep dials after brief ones
 
     # ---- receiving ----------------------------------------------------------------------------------------
 
@@ -334,10 +336,17 @@
         """Look after a connection that is silent, stuck or idle."""
         connection, limits = self.connection, self.pool.limits
         standing = self.pool.standing(self.edge)
+        if self.idle:
+            # Guards against a set-up on a connection that was rightly quiet before it: silence counts from
+            # when there is something to hear. Each check costs a connection, at every broker.
+            self.idle_s = now_s
+        silent_s = now_s - max(self.heard_s, self.idle_s)
+        if self.replaced:
+            self._close_replaced(now_s)
         if connection is None or not connection.up:
             if (standing or self.queue) and not self.dialing:
                 if self.address is not None:
-                    self.dial()
+                    self.dial("none")
                 elif now_s - self.heard_s > UNKNOWN_S:
                     self.down(Ending.SILENT)
             return
@@ -348,12 +357,12 @@
             connection.drop(Ending.MALFORMED, "stopped short")
         elif not self.replaced and any(sent.connection is connection and sent.mute(now_s)
                                        for sent in self.open.values()):
-            self.dial()
-        elif (standing or self.open) and now_s - self.heard_s > limits.silence_s:
+            self.dial("mute")
+        elif (standing or self.open) and silent_s > limits.silence_s:
             if self.address is None:
                 self.down(Ending.SILENT)
             else:
-                self.dial()  # a machine that vanished takes no new connection
+                self.dial("silent")  # a machine that vanished takes no new connection
         elif self.idle and now_s - max(self.used_s, self.heard_s) > limits.idle_s:
             connection.ending, connection.up = Ending.IDLE, False
             self.connection = None
@@ -431,4 +440,4 @@
     def watch(self, edge: str) -> None:
         link = self._link(edge)
         if link.connection is None:
-            link.dial()
+            link.dial("handed over")
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,7 +6,7 @@
 import unittest
 from dataclasses import asdict
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from helpers import request
 from hypothesis import given
@@ -271,6 +271,48 @@
         self.clock.advance(0.1)
         self.assertFalse(connection.up)
 
+    def connect(self) -> EdgeConnection:
+        self.link.address = ("127.0.0.1", 9)
+        connection = self.link.connection = EdgeConnection(self.link)
+        connection.transport, connection.up, connection.heard_s = Mock(), True, self.clock.seconds()
+        return connection
+
+    def test_a_set_up_on_a_connection_that_was_rightly_quiet_has_it_checked_by_nobody(self) -> None:
+        """At forty brokers each set-up after a pause would open a connection more, and close one in use."""
+        self.standing = 0
+        self.connect()
+        self.pool.start()
+        with patch.object(self.link, "dial") as dial:
+            for _ in range(200):
+                self.clock.advance(0.1)
+            self.link.send(Queued(b"x", "s"))
+            self.standing = 1
+            for _ in range(2):
+                self.clock.advance(0.1)
+            dial.assert_not_called()
+            self.link.open.clear()
+            for _ in range(60):
+                self.clock.advance(0.1)
+            dial.assert_called()  # silence that is none of ours is looked into all the same
+
+    def test_a_replaced_connection_outlasts_its_last_answer_a_little(self) -> None:
+        """An edge server cuts a session whose connection is closed in the moment of its answer."""
+        old = self.connect()
+        self.link.send(Queued(b"x", "s"))
+        self.pool.limits = EdgeLimits(0.25, 27, 5, 32, connections=4)
+        self.link._up(EdgeConnection(self.link), ("127.0.0.1", 9))
+        self.link.connection.transport, self.link.connection.up = Mock(), True
+        self.pool.start()
+        for _ in range(20):
+            self.clock.advance(0.1)
+        old.heard_s = self.clock.seconds()
+        self.link.end_set_up("s")
+        self.clock.advance(0.1)
+        old.transport.loseConnection.assert_not_called()
+        for _ in range(15):
+            self.clock.advance(0.1)
+        old.transport.loseConnection.assert_called_once()
+
     def test_no_descriptor_left_tells_nothing_of_the_server(self) -> None:
         self.link.address = ("127.0.0.1", 9)
         self.pool.limits = EdgeLimits(0.25, 27, 5, 32, connections=0)
