Heed the first load note of a session though it comes ahead of its start

A broker that sees a sliver hears of most servers only by that note. Ruled out: the uplinks (their mean is above four links), the cuts (they do come, a second later each). Now such a note is heeded with the start.

--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -289,10 +289,9 @@
             return
         cls = self.classes[ask.cls]
         session = Session(ask, cls, self._pool_of(ask.length_us))
-        hint = ask.length_us if _valid(ask.length_us) else 0.0
-        if hint:
-            self._count(1, session.pool, hint)
-            self.window.append((self.now, session.pool, hint))
+        if _valid(ask.length_us):
+            self._count(1, session.pool, ask.length_us)
+            self.window.append((self.now, session.pool, ask.length_us))
         if self.settings.budget_ratio is not None:
             self.taken.append(self.now)
         session.over_share = self._over_share(ask.tenant)
@@ -350,6 +349,8 @@
         server.fails, server.strikes = max(0, server.fails - 1), 0
         if server.cold_until == NEVER:
             server.cold_until = self.now + self.settings.cold_us
+        if session.told:
+            self._settle(session, server)
 
     def _on_ended(self, event: Ended) -> None:
         server = self.servers.get(event.server)
@@ -416,9 +417,9 @@
         self._read(server, note.topic, note.value, self.now - (0 if fresh else self.settings.seen_after_us))
         if fresh is not None:
             fresh.told = True
-            self._trim(fresh, server)
-        if note.topic == "link":
-            self._restore(server, fresh)
+            self._settle(fresh, server)
+        elif note.topic == "link":
+            self._restore(server, None)
 
     def _change(self, session: Session, rung: int) -> None:
         """Change the rung of a playing session, its draws in proportion."""
@@ -452,8 +453,9 @@
             over -= step
             self._change(session, session.rung - 1)
 
-    def _trim(self, session: Session, server: Server) -> None:
-        """Lower a session just set up, if the line proves fuller than was known, to the rung that fits."""
+    def _settle(self, session: Session, server: Server) -> None:
+        """Lower a session just set up, if the line proves fuller than was known, to the rung that fits, or
+        raise it. Its note may come ahead of its start, and is then heeded with that."""
         line, rung, ladder = server.line, session.rung, self.settings.ladder_kb
         over = (line.load(0.0, self.now) - LIMIT) * line.kb
         while session.state == "playing" and rung > session.cls.floor and over > 0:
@@ -461,6 +463,7 @@
             rung -= 1
         if rung < session.rung:
             self._change(session, rung)
+        self._restore(server, session)
 
     def _restore(self, server: Server, fresh: Session | None) -> None:
         """Raise sessions toward the rung admitted at; ``fresh``: one just set up, noted here alone."""
@@ -710,22 +713,17 @@
         if (self.now >= ask.deadline_us - LEAD_US or session.attempt >= 0 and not self._budget_left()
                 or cls.seats and self.seats.get((ask.title, cls.name), 0) >= cls.seats):
             return False
-        best, best_key = None, None
-        for step in range(min(ask.copies, settings.cells)):
-            for server in self.by_cell.get((ask.home + step) % settings.cells, ()):
-                if not self._usable(server) or server.entry.server in session.tried:
-                    continue
-                fit = self._fit(session, server, sizes, averages)
-                if fit is None:
-                    continue
-                cross = settings.cross_zone_price * CROSS_BIAS if server.entry.zone != settings.zone else 0.0
-                key = (fit[0], -fit[2] - cross - self.random.random() * SPREAD)
-                if best_key is None or key > best_key:
-                    best, best_key = (server, fit), key
-        if best is None:
-            return False
-        self._send(session, best[0], best[1][0], best[1][1])
-        return True
+        fits = [(fit, server) for step in range(min(ask.copies, settings.cells))
+                for server in self.by_cell.get((ask.home + step) % settings.cells, ())
+                if self._usable(server) and server.entry.server not in session.tried
+                and (fit := self._fit(session, server, sizes, averages)) is not None]
+        if fits:
+            cross = settings.cross_zone_price * CROSS_BIAS
+            (rung, draws, _), server = max(fits, key=lambda each: (
+                each[0][0], -each[0][2] - (each[1].entry.zone != settings.zone) * cross
+                - self.random.random() * SPREAD))
+            self._send(session, server, rung, draws)
+        return bool(fits)
 
     def _usable(self, server: Server) -> bool:
         return (server.listed and server.entry.state == "active" and self.now >= server.blocked_until
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -314,7 +314,7 @@
         self.connection = None
         if ((ending is Ending.RESET or self.pool.standing(self.edge) and ending is not Ending.SILENT)
                 and self.pool.reactor.seconds() - self.up_s > BRIEF_S):
-            self.dial("lost")  # what ends there is told on the next connection; the sweep dials after brief ones
+            self.dial("lost")  # what ends there is told on the next; the sweep dials after brief ones
 
     # ---- receiving ----------------------------------------------------------------------------------------
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -112,6 +112,20 @@
     assert 0.5 < line.load(0.0, made.now) <= LIMIT
 
 
+@pytest.mark.parametrize("first", ["note", "start"])
+@pytest.mark.parametrize("load, rung", [(0.3, 2), (1.5, 0)])
+def test_the_first_note_settles_the_rung_whether_it_comes_before_the_start_or_after(
+        first: str, load: float, rung: int) -> None:
+    """On sockets half of the first notes come ahead of the answer: passed over, they leave full links full."""
+    made = controller(1, loads=None, change_cost_s=0.0)
+    made.handle(NOW, [Note("none", "s0", "link", 0.5)])
+    at = NOW + 30 * SECOND  # heard so long ago that the rung is a guess
+    assert place(made, at, "a", copies=1) == ("s0", 1)
+    events = [Note("a", "s0", "link", load), Started("a", 0, "s0", 1_000)]
+    made.handle(at + 1_000, events if first == "note" else events[::-1])
+    assert made.sessions["a"].rung == rung
+
+
 def test_unheard_server_counts_as_average_and_bad_readings_are_ignored() -> None:
     made = controller(loads=0.5)
     fresh = made.servers["s0"].line
