--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -21,6 +21,7 @@
 
 # Every tuned constant, with its unit and reason.
 CUTS_US = (80_000_000, 160_000_000)  # us: cuts between the length pools (design)
+TURN_US = 30_000_000  # us: sessions turn over in so long until hints are heard, then in their mean length
 TYPICAL_US = (40e6, 120e6, 240e6)  # us: length taken for a range without hints: the middle of the range
 MIDDLE = 1  # pool of a session without a valid hint (design)
 WINDOW_US = 60_000_000  # us: hints count for popularity so long (design)
@@ -31,7 +32,7 @@
 POLL_US = 100_000  # us: held sessions are looked at so often, well under the time in which room changes
 FREE_FROM = 0.45  # share of a line above which the step of least worth a kB is not given, at first
 FREE_LEAST, FREE_MOST = 0.35, 0.75  # its bounds: lower gave nothing more, higher left lines short
-FREE_RISE, FREE_FALL = 0.01, 0.10  # a second; a note of a shortage, times the part of own sessions on it
+FREE_RISE, FREE_FALL = 0.30, 3.0  # a turn-over; the same of a shortage, times the part of own sessions on it
 WORTH_POWER = 0.5  # power of a class's worth in its bid: below 1 keeps the worst-served class in view
 SHORT_FROM = 0.98  # share delivered under which a line counts as short (where worth begins to be lost)
 CUT_FROM = 0.97  # share delivered under which own sessions are cut: a cut costs about a second's worth
@@ -39,6 +40,7 @@
 CALM_US = 6_000_000  # us: without a short note before a raise: longer than a neighbour's pauses
 RAISE_GAIN = 2.0  # times its cost that a rung up must bring: hints are rough
 STALLED = 0.3  # share delivered under which a server stands still: no reading of a load
+NOTE_US = 1_000_000  # us: a short server tells so often; cuts there are no closer, and by how late notes are
 STALE_NOTES = 1.5  # times the time between load notes after which they count as out
 LEARN = 0.5  # weight of a new reading of an uplink's size
 GROW = 0.02  # part a second by which a learned uplink grows back while busy and not short: a slow probe
@@ -52,7 +54,6 @@
 STRIKES = 3  # failures in a row before a server that lives rests: bad requests fail singly, everywhere alike
 EJECT_MAX_US = 8_000_000  # us: longest ejection: about the time in which machines come back
 FULL_US = 500_000  # us: rest of a server that answers full, and further hold of a session not started
-CUT_GAP_US = 1_000_000  # us between cuts at a server, beyond what notes are late: they come once a second
 SETUP_US = 100_000  # us: time of a set-up before any is seen; then smoothed by 1/8, its spread by 1/4
 WAIT_MIN_US = 300_000  # us: shortest attempt time-out, over the slowest normal set-up
 NEWS_US = 5_000_000  # us: a gateway that starts hears so soon of servers that started shortly before
@@ -229,8 +230,8 @@
             HANDLERS[type(event)](self, event)
         self._serve_held()
         if now - self.checked_us >= POLL_US * 10:
-            self.checked_us = now
-            self.free_from = min(FREE_MOST, self.free_from + FREE_RISE)
+            rise = FREE_RISE * self._turns(min(now - self.checked_us, 2 * NOTE_US))
+            self.free_from, self.checked_us = min(FREE_MOST, self.free_from + rise), now
             for name, server in list(self.servers.items()):
                 if not (server.listed or server.own):
                     del self.servers[name]  # guards against growing with every id that was ever listed
@@ -246,12 +247,10 @@
         first = not self.servers
         named = {entry.server for entry in event.servers}
         for entry in event.servers:
-            server = self.servers.get(entry.server)
-            fresh = server is None
-            if server is None:
-                if entry.state == "gone":
-                    continue
-                server = self._new_server(entry)
+            fresh = entry.server not in self.servers
+            if fresh and entry.state == "gone":
+                continue
+            server = self._new_server(entry) if fresh else self.servers[entry.server]
             if fresh and first:
                 # Slow start: the list a gateway starts with may be old, but soon brings news of a start.
                 server.guessed = not entry.started_us
@@ -440,10 +439,10 @@
         late note cuts for a shortage that is over, so the effect is awaited before the next cut."""
         server.short_us = self.now
         part = len(server.own) / max(1, len(self.sessions))
-        self.free_from = max(FREE_LEAST, self.free_from - FREE_FALL * part)
+        self.free_from = max(FREE_LEAST, self.free_from - FREE_FALL * part * self._turns(NOTE_US))
         if share >= CUT_FROM or self.now < server.cut_after:
             return
-        server.cut_after = self.now + self.settings.seen_after_us + CUT_GAP_US
+        server.cut_after = self.now + self.settings.seen_after_us + NOTE_US
         over, ladder = server.line.own_kb * (1 - share * CUT_TO), self.settings.ladder_kb
         can = [each for each in server.own.values() if each.state == "playing" and each.rung > each.cls.floor]
         for session in sorted(can, key=lambda each: self._bid(each.cls, each.rung - 1, each.rung)):
@@ -604,6 +603,10 @@
         self.hint_count[pool] += sign
         self.hint_us[pool] += sign * hint
 
+    def _turns(self, us: int) -> float:
+        """A time in turn-overs of sessions, which what is known of a line outlives no better than they do."""
+        return us / (sum(self.hint_us) / sum(self.hint_count) if self.window else TURN_US)
+
     def _pool_sizes(self) -> list[float]:
         """The share of a link for each pool: f2 = popularity x length over the range."""
         while self.window and self.window[0][0] <= self.now - WINDOW_US:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -69,6 +69,21 @@
     assert 0 < fallen < 0.1 and made.free_from >= 0.3
 
 
+def test_levels_move_in_the_time_in_which_sessions_turn_over() -> None:
+    """Where sessions are five times as short, levels that take half a minute to rise come when all is over."""
+    rises, falls = [], []
+    for length_us in (50e6, 10e6):
+        made = controller(count=2)
+        for cell in (0, 1):
+            place(made, NOW, f"r{cell}", home=cell, copies=1, length_us=length_us)
+        before = made.free_from
+        made.handle(NOW + SECOND, [])
+        rises.append(made.free_from - before)
+        made.handle(NOW + SECOND, [note("share", 0.9)])
+        falls.append(before + rises[-1] - made.free_from)
+    assert rises[1] == pytest.approx(5 * rises[0]) and falls[1] == pytest.approx(5 * falls[0])
+
+
 @pytest.mark.parametrize("gateways", [1, 12])
 def test_many_gateways_together_raise_by_the_room_there_is(gateways: int) -> None:
     """Each holds one session of a server; they hear the same notes. One gateway with all of them is alike."""
