--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -84,6 +84,19 @@
     assert rises[1] == pytest.approx(5 * rises[0]) and falls[1] == pytest.approx(5 * falls[0])
 
 
+@pytest.mark.parametrize("load, home", [(0.2, range(16, 21)), (0.5, range(1))])
+def test_own_zone_is_chosen_unless_it_is_a_good_deal_fuller(load: float, home: range) -> None:
+    """Few sessions a gateway, all of them priced by the second: near-equal load is no reason to cross."""
+    chosen = []
+    for seed in range(20):
+        made = Controller(settings(cross_zone_price=0.06, cells=2), seed)
+        made.handle(0, [ServerList([entry(0), entry(1, zone="b")], complete=True)])
+        made.handle(NOW, [note("link", load), note("link", 0.18, "s1")])
+        placed = place(made, NOW, "a", copies=2, ceiling=0)
+        chosen.append(placed is not None and placed[0] == "s0")
+    assert sum(chosen) in home
+
+
 @pytest.mark.parametrize("gateways", [1, 12])
 def test_many_gateways_together_raise_by_the_room_there_is(gateways: int) -> None:
     """Each holds one session of a server; they hear the same notes. One gateway with all of them is alike."""
