Find dead edges by notes that fail to come, and a lost zone by two deaths in it

Ruled out: slow dials (none timed out). At fault: silence_us (config.py) took 5 s and more though notes come every 2 s, and EdgeLink learned from itself alone. Now silence is the time between notes, how late they are, and 0.5 s; two servers of one zone that die within 2 s have the rest of the zone dialled where sessions stand. Since every check that finds its server well costs a connection at each of 40 brokers, one link is checked at a time, with a pause that doubles while all is well: where notes stay out, that was a dial for each link every 5 s.

--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -30,7 +30,8 @@
 DEFAULT_STREAMS = 32
 LONGEST_US = 3_000_000  # a deadline counts as no more for the time that a planned end leaves
 AFTER_LAST_US = 700_000  # and it leaves so much beyond the longest
-SILENCE_US = 5_000_000  # least silence of a connection with sessions before it is checked
+SILENCE_US = 5_000_000  # silence of a connection with sessions before it is checked, where no notes come
+LATE_US = 500_000  # where they come, a note that is later by this has not been sent
 
 
 class ConfigError(Exception):
@@ -137,7 +138,7 @@
             dial_us=dial_us or DEFAULT_DIAL_US,
             idle_us=idle_us or DEFAULT_IDLE_US,
             grace_us=min(LONGEST_US, max(deadlines, default=LONGEST_US)) + AFTER_LAST_US,
-            silence_us=max(SILENCE_US, tell_us + seen_us),
+            silence_us=tell_us + seen_us + LATE_US if tell_us else SILENCE_US,
             streams_per_connection=max(1, whole(pairs, "Limits.StreamsPerConn", DEFAULT_STREAMS)),
             hints=hints or HintsConfig(),
             tenants=tenants or TenantsConfig(),
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -30,6 +30,8 @@
 SILENT_S = 1.5  # ... said nothing for so long on what is open: one that is slow to accept has not vanished
 LOCAL_DIALS = 12  # the same for dials that fail at once, without a word from the other side
 BRIEF_S = 1.0  # a connection that ended so soon is not dialled again at once
+CHECK_S, CHECK_MOST_S = 1.0, 8.0  # pause after a check that found all well; doubles with each in a row
+ZONE_S = 2.0  # two servers of a zone that die within this may be a zone that is lost
 RELEASE_DIALS = 40  # dials that time out before releases that wait are dropped
 SETTLE_S = 1.0  # a replaced connection stays so long after its last word
 MUTE_S = 0.3  # a connection that says nothing for so long after a set-up is replaced; most answer in 0.1 s
@@ -138,6 +140,8 @@
     def __init__(self, pool: EdgePool, edge: str) -> None:
         self.pool, self.edge = pool, edge
         self.address: tuple[str, int] | None = None
+        self.zone = ""
+        self.checked = False  # dialled only to see whether it is there
         self.connection: EdgeConnection | None = None
         self.dialing = False
         self.dials = 0  # dials that timed out in a row
@@ -202,8 +206,17 @@
         done.addCallbacks(self._up, lambda reason: self._not_up(dial_failed(reason)), callbackArgs=(address,))
         done.addErrback(lambda reason: log.error("dial", extra={"edge": self.edge, "fault": str(reason)}))
 
+    def check(self, why: str) -> None:
+        """See whether the server is there: one that vanished or died takes no new connection."""
+        if not self.dialing:
+            self.dial(why)
+            self.checked = self.dialing
+
     def _up(self, connection: EdgeConnection, address: tuple[str, int]) -> None:
         self.dialing, self.dials = False, 0
+        if self.checked:
+            self.checked = False
+            self.pool.found(True)
         if address != self.address:  # the id moved, or its address went to another, while this was dialled
             connection.drop(Ending.MOVED)
             if self.address is not None:
@@ -263,6 +276,9 @@
 
     def _not_up(self, ending: Ending) -> None:
         self.dialing = False
+        if self.checked:
+            self.checked = False
+            self.pool.found(False)
         log.info("edge not reached", extra={"edge": self.edge, "ending": ending.value})
         self._fail_queue(ending)
         self.dials += 1
@@ -293,6 +309,7 @@
         if self.connection is not None:
             self.connection.drop(ending)
         self.pool.post(EdgeDown(self.edge, ending))
+        self.pool.died(self)
 
     def closed(self, connection: EdgeConnection, ending: Ending) -> None:
         """The connection is over. Set-ups open on it are given up; sessions stand on. Guards against a reset
@@ -361,8 +378,8 @@
         elif (standing or self.open) and silent_s > limits.silence_s:
             if self.address is None:
                 self.down(Ending.SILENT)
-            else:
-                self.dial("silent")  # a machine that vanished takes no new connection
+            elif self.pool.may_check:
+                self.check("silent")
         elif self.idle and now_s - max(self.used_s, self.heard_s) > limits.idle_s:
             connection.ending, connection.up = Ending.IDLE, False
             self.connection = None
@@ -377,6 +394,8 @@
         self.reactor, self.limits, self.post, self.standing = reactor, limits, post, standing
         self.links: dict[str, EdgeLink] = {}
         self.swept_s = 0.0
+        self.check_s, self.pause_s = 0.0, CHECK_S  # when a silent link may be checked, and the pause after it
+        self.deaths: dict[str, dict[str, float]] = {}  # by zone, lately: which servers, and when
 
     def start(self) -> None:
         self.swept_s = self.reactor.seconds()
@@ -388,6 +407,32 @@
                    for link in self.links.values())
         return used < self.limits.connections
 
+    @property
+    def may_check(self) -> bool:
+        """Guards against checks of all links at once when it is the notes that stay out: each that finds its
+        server well has cost a connection, at every broker."""
+        return (self.reactor.seconds() >= self.check_s
+                and not any(link.checked for link in self.links.values()))
+
+    def found(self, well: bool) -> None:
+        """What a check found. While servers prove dead the next is checked at once."""
+        self.pause_s = min(CHECK_MOST_S, self.pause_s * 2) if well else CHECK_S
+        self.check_s = self.reactor.seconds() + (self.pause_s if well else 0.0)
+
+    def died(self, link: EdgeLink) -> None:
+        """Guards against a lost zone that each link learns of by itself, after a silence: not all connections
+        show its end. Two deaths together have the rest of the zone looked at where sessions stand."""
+        now_s = self.reactor.seconds()
+        deaths = self.deaths.setdefault(link.zone, {})
+        for edge in [edge for edge, at_s in deaths.items() if at_s < now_s - ZONE_S]:
+            del deaths[edge]
+        deaths[link.edge] = now_s
+        if len(deaths) > 1:
+            for other in self.links.values():
+                if (other.zone == link.zone and other.edge not in deaths and other.connection is not None
+                        and other.up_s < now_s - ZONE_S and self.standing(other.edge)):
+                    other.check("zone")
+
     def named(self, news: ServerList, addresses: dict[str, tuple[str, int]]) -> None:
         """Take the addresses of one change. An address may be that of a server that has gone: whoever had
         it before can no longer be dialled there."""
@@ -396,7 +441,7 @@
             if entry.state == "gone":
                 link.address = None
                 continue
-            address = addresses[entry.server]
+            address, link.zone = addresses[entry.server], entry.zone
             for other in self.links.values():
                 if other is not link and other.address == address:
                     other.address = None
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 from dataclasses import asdict
+from functools import partial
 from typing import Any
 from unittest.mock import Mock, patch
 
@@ -313,6 +314,52 @@
             self.clock.advance(0.1)
         old.transport.loseConnection.assert_called_once()
 
+    def links(self, *zones: str) -> list[EdgeLink]:
+        """Links with sessions in these zones, their connections up for a while."""
+        self.pool.links = {f"e{at}": EdgeLink(self.pool, f"e{at}") for at in range(len(zones))}
+        for link, zone in zip(self.pool.links.values(), zones):
+            link.zone, link.address = zone, ("127.0.0.1", 9)
+            link.dial = Mock(side_effect=partial(setattr, link, "dialing"))  # type: ignore[method-assign]
+            connection = link.connection = EdgeConnection(link)
+            connection.transport, connection.up = Mock(), True
+        return list(self.pool.links.values())
+
+    def dialled(self) -> int:
+        return sum(link.dial.call_count for link in self.pool.links.values())  # type: ignore[attr-defined]
+
+    def test_two_deaths_in_a_zone_have_the_rest_of_it_looked_at(self) -> None:
+        """Of a zone that is lost some connections show nothing, and each would be found out by its silence."""
+        links = self.links("a", "a", "b", "a", "b")
+        self.clock.advance(3.0)
+        links[0]._not_up(Ending.DIAL_REFUSED)
+        self.assertEqual(self.dialled(), 0)  # one death is no loss of a zone
+        links[1]._not_up(Ending.DIAL_REFUSED)
+        self.assertEqual([link.dial.call_count for link in links], [0, 0, 0, 1, 0])  # type: ignore[attr-defined]
+        links[2]._not_up(Ending.DIAL_REFUSED)
+        self.clock.advance(5.0)
+        links[4]._not_up(Ending.DIAL_REFUSED)
+        self.assertEqual(self.dialled(), 1)  # and neither are two with time between them
+
+    def test_when_the_notes_stay_out_few_links_are_checked(self) -> None:
+        """Silence of all is the notes': a connection each, at every broker and again and again, is dear."""
+        links = self.links(*"abcabcabcabc")
+        self.pool.limits = EdgeLimits(0.25, 27, silence_s=3, per_connection=32, connections=40)
+        self.pool.start()
+        for _ in range(200):
+            self.clock.advance(0.1)
+            for link in links:
+                if link.checked:
+                    new = EdgeConnection(link)
+                    new.transport, new.up = Mock(), True
+                    link._up(new, ("127.0.0.1", 9))
+        self.assertIn(self.dialled(), range(3, 7))
+        for _ in range(140):  # where they prove dead, the next is looked at without a pause
+            self.clock.advance(0.1)
+            for link in links:
+                if link.checked:
+                    link._not_up(Ending.DIAL_REFUSED)
+        self.assertFalse([link for link in links if link.connection and link.connection.up])
+
     def test_no_descriptor_left_tells_nothing_of_the_server(self) -> None:
         self.link.address = ("127.0.0.1", 9)
         self.pool.limits = EdgeLimits(0.25, 27, 5, 32, connections=0)
