Hear out connections that are closed, and count deaths in service alone

An end that the edge sends on the old connection while this side closes it is read by nobody, and the next connection, on which it would come again, is open already. Ruled out: silence (no connection was dropped for it before 13 s) and servers that the list lost (3 s, well inside 8). At fault: EdgePool.died, which counted servers told to leave, and _close_replaced (loseConnection stops reading). The race was there before, as rare as replacements were.

--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -31,6 +31,7 @@
 LOCAL_DIALS = 12  # the same for dials that fail at once, without a word from the other side
 BRIEF_S = 1.0  # a connection that ended so soon is not dialled again at once
 CHECK_S, CHECK_MOST_S = 1.0, 8.0  # pause after a check that found all well; doubles with each in a row
+UNCHECKED_S = 6.0  # no link is silent for longer unchecked: an end must be told within 8 s, dials included
 ZONE_S = 2.0  # two servers of a zone that die within this may be a zone that is lost
 RELEASE_DIALS = 40  # dials that time out before releases that wait are dropped
 SETTLE_S = 1.0  # a replaced connection stays so long after its last word
@@ -104,6 +105,14 @@
     def lengthLimitExceeded(self, length: int) -> None:
         self.drop(Ending.MALFORMED, f"message of {length} bytes")
 
+    def finish(self) -> None:
+        """Say nothing more, and close once the other side has. Guards against an end of a session that is on
+        its way when this side closes: it would be heard nowhere, the next connection being open already."""
+        if self.up and self.ending is None:
+            self.ending = Ending.IDLE
+            self.transport.loseWriteConnection()
+            self.link.pool.reactor.callLater(SETTLE_S, self.drop, Ending.IDLE)
+
     def drop(self, ending: Ending, why: str = "") -> None:
         """Close at once."""
         if self.up:
@@ -140,7 +149,7 @@
     def __init__(self, pool: EdgePool, edge: str) -> None:
         self.pool, self.edge = pool, edge
         self.address: tuple[str, int] | None = None
-        self.zone = ""
+        self.zone = ""  # empty while the server is told to leave: that it dies then says nothing of its zone
         self.checked = False  # dialled only to see whether it is there
         self.connection: EdgeConnection | None = None
         self.dialing = False
@@ -250,11 +259,9 @@
         that the machine is there, and the old one stays until its set-ups have ended, and a little longer:
         closed in the moment of its answer, it takes the session with it."""
         used = {sent.connection for sent in self.open.values()}
-        for old in [each for each in self.replaced if each not in used and now_s - each.heard_s > SETTLE_S]:
-            self.replaced.remove(old)
-            if old.up:
-                old.ending, old.up = Ending.IDLE, False
-                old.transport.loseConnection()
+        for old in self.replaced:
+            if old not in used and now_s - old.heard_s > SETTLE_S:
+                old.finish()
 
     def end_set_up(self, session: str) -> None:
         """A set-up is answered or given up."""
@@ -378,7 +385,7 @@
         elif (standing or self.open) and silent_s > limits.silence_s:
             if self.address is None:
                 self.down(Ending.SILENT)
-            elif self.pool.may_check:
+            elif silent_s > UNCHECKED_S or self.pool.may_check:
                 self.check("silent")
         elif self.idle and now_s - max(self.used_s, self.heard_s) > limits.idle_s:
             connection.ending, connection.up = Ending.IDLE, False
@@ -422,6 +429,8 @@
     def died(self, link: EdgeLink) -> None:
         """Guards against a lost zone that each link learns of by itself, after a silence: not all connections
         show its end. Two deaths together have the rest of the zone looked at where sessions stand."""
+        if not link.zone:
+            return
         now_s = self.reactor.seconds()
         deaths = self.deaths.setdefault(link.zone, {})
         for edge in [edge for edge, at_s in deaths.items() if at_s < now_s - ZONE_S]:
@@ -438,10 +447,11 @@
         it before can no longer be dialled there."""
         for entry in news.servers:
             link = self._link(entry.server)
+            link.zone = entry.zone if entry.state == "active" else ""
             if entry.state == "gone":
                 link.address = None
                 continue
-            address, link.zone = addresses[entry.server], entry.zone
+            address = addresses[entry.server]
             for other in self.links.values():
                 if other is not link and other.address == address:
                     other.address = None
