Take a server that was told to leave for dead only after a longer silence

Counted over the fleet: three servers went silent at all brokers within 0.15 s of each other while others of the same release were reset at 14.08 s; all three had been told to leave, send no notes after that and refuse dials, so a check found them dead. They play on until they end.

--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -149,7 +149,7 @@
     def __init__(self, pool: EdgePool, edge: str) -> None:
         self.pool, self.edge = pool, edge
         self.address: tuple[str, int] | None = None
-        self.zone = ""  # empty while the server is told to leave: that it dies then says nothing of its zone
+        self.zone, self.leaving = "", False
         self.checked = False  # dialled only to see whether it is there
         self.connection: EdgeConnection | None = None
         self.dialing = False
@@ -365,6 +365,9 @@
             # when there is something to hear. Each check costs a connection, at every broker.
             self.idle_s = now_s
         silent_s = now_s - max(self.heard_s, self.idle_s)
+        # Guards against sessions cut that still stand: a server that is told to leave takes no connection any
+        # more and sends no notes, but plays on until it ends, which shows on the connections that it has.
+        silence_s = max(limits.silence_s, UNCHECKED_S if self.leaving else 0.0)
         if self.replaced:
             self._close_replaced(now_s)
         if connection is None or not connection.up:
@@ -382,7 +385,7 @@
         elif not self.replaced and any(sent.connection is connection and sent.mute(now_s)
                                        for sent in self.open.values()):
             self.dial("mute")
-        elif (standing or self.open) and silent_s > limits.silence_s:
+        elif (standing or self.open) and silent_s > silence_s:
             if self.address is None:
                 self.down(Ending.SILENT)
             elif silent_s > UNCHECKED_S or self.pool.may_check:
@@ -429,8 +432,8 @@
     def died(self, link: EdgeLink) -> None:
         """Guards against a lost zone that each link learns of by itself, after a silence: not all connections
         show its end. Two deaths together have the rest of the zone looked at where sessions stand."""
-        if not link.zone:
-            return
+        if link.leaving:
+            return  # it was told to, and says nothing of its zone
         now_s = self.reactor.seconds()
         deaths = self.deaths.setdefault(link.zone, {})
         for edge in [edge for edge, at_s in deaths.items() if at_s < now_s - ZONE_S]:
@@ -447,7 +450,7 @@
         it before can no longer be dialled there."""
         for entry in news.servers:
             link = self._link(entry.server)
-            link.zone = entry.zone if entry.state == "active" else ""
+            link.zone, link.leaving = entry.zone, entry.state != "active"
             if entry.state == "gone":
                 link.address = None
                 continue
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -355,6 +355,16 @@
             link._not_up(Ending.DIAL_REFUSED)
         self.assertEqual(self.dialled(), 0)
 
+    def test_a_server_that_was_told_to_leave_may_be_silent_for_longer(self) -> None:
+        """It plays on without notes, and refuses a dial: taken for dead, all that stands there would be cut."""
+        links = self.links("a", "a")
+        links[0].leaving = True
+        self.pool.limits = EdgeLimits(0.25, 27, silence_s=3, per_connection=32, connections=40)
+        self.pool.start()
+        for _ in range(50):
+            self.clock.advance(0.1)
+        self.assertEqual([bool(link.checked) for link in links], [False, True])
+
     def test_no_pause_between_checks_keeps_an_end_from_its_viewer(self) -> None:
         links = self.links("a", "a")
         self.pool.limits = EdgeLimits(0.25, 27, silence_s=3, per_connection=32, connections=40)
