--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -453,8 +453,8 @@
             self._change(session, session.rung - 1)
 
     def _settle(self, session: Session, server: Server) -> None:
-        """Lower a session just set up, if the line proves fuller than was known, to the rung that fits, or
-        raise it. Its note may come ahead of its start, and is then heeded with that."""
+        """Departure: lower a session just set up, if the line proves fuller than was known, to the rung that
+        fits, or raise it. Its note may come ahead of its start, then counts with it. Harm: one more change."""
         line, rung, ladder = server.line, session.rung, self.settings.ladder_kb
         over = (line.load(0.0, self.now) - LIMIT) * line.kb
         while session.state == "playing" and rung > session.cls.floor and over > 0:
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -221,11 +221,15 @@
             self.dial(why)
             self.checked = self.dialing
 
-    def _up(self, connection: EdgeConnection, address: tuple[str, int]) -> None:
-        self.dialing, self.dials = False, 0
+    def _dialled(self, well: bool) -> None:
+        self.dialing = False
         if self.checked:
             self.checked = False
-            self.pool.found(True)
+            self.pool.found(well)
+
+    def _up(self, connection: EdgeConnection, address: tuple[str, int]) -> None:
+        self._dialled(well=True)
+        self.dials = 0
         if address != self.address:  # the id moved, or its address went to another, while this was dialled
             connection.drop(Ending.MOVED)
             if self.address is not None:
@@ -263,10 +267,6 @@
             if old not in used and now_s - old.heard_s > SETTLE_S:
                 old.finish()
 
-    def end_set_up(self, session: str) -> None:
-        """A set-up is answered or given up."""
-        self.open.pop(session, None)
-
     def give_up(self, session: str) -> bool:
         """Take a set-up back. True: it was still queued."""
         if self.unqueue(session):
@@ -278,14 +278,11 @@
                 self.doubtful.append(session)  # it may never have been read
                 if self.connection is sent.connection:
                     self.dial("given up")  # a machine that vanished takes no new one: what it holds is over
-        self.end_set_up(session)
+        self.open.pop(session, None)
         return False
 
     def _not_up(self, ending: Ending) -> None:
-        self.dialing = False
-        if self.checked:
-            self.checked = False
-            self.pool.found(False)
+        self._dialled(well=False)
         log.info("edge not reached", extra={"edge": self.edge, "ending": ending.value})
         self._fail_queue(ending)
         self.dials += 1
@@ -351,7 +348,7 @@
         if item is None:
             return
         if message.kind in (wire.ANSWER, wire.RELEASE):
-            self.end_set_up(message.session)
+            self.open.pop(message.session, None)
         if isinstance(item, EdgeReleased):
             connection.sendString(wire.heard(message.session))
         self.pool.post(item)
@@ -359,8 +356,8 @@
     def sweep(self, now_s: float) -> None:
         """Look after a connection that is silent, stuck or idle."""
         connection, limits = self.connection, self.pool.limits
-        standing = self.pool.standing(self.edge)
-        if self.idle:
+        standing, idle = self.pool.standing(self.edge), self.idle
+        if idle:
             # Guards against a set-up on a connection that was rightly quiet before it: silence counts from
             # when there is something to hear. Each check costs a connection, at every broker.
             self.idle_s = now_s
@@ -390,7 +387,7 @@
                 self.down(Ending.SILENT)
             elif silent_s > UNCHECKED_S or self.pool.may_check:
                 self.check("silent")
-        elif self.idle and now_s - max(self.used_s, self.heard_s) > limits.idle_s:
+        elif idle and now_s - max(self.used_s, self.heard_s) > limits.idle_s:
             connection.ending, connection.up = Ending.IDLE, False
             self.connection = None
             connection.transport.loseConnection()
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -284,16 +284,13 @@
         self.connect()
         self.pool.start()
         with patch.object(self.link, "dial") as dial:
-            for _ in range(200):
-                self.clock.advance(0.1)
+            self.clock.pump([0.1] * 200)
             self.link.send(Queued(b"x", "s"))
             self.standing = 1
-            for _ in range(2):
-                self.clock.advance(0.1)
+            self.clock.pump([0.1] * 2)
             dial.assert_not_called()
             self.link.open.clear()
-            for _ in range(60):
-                self.clock.advance(0.1)
+            self.clock.pump([0.1] * 60)
             dial.assert_called()  # silence that is none of ours is looked into all the same
 
     def test_a_replaced_connection_outlasts_its_last_answer_a_little(self) -> None:
@@ -304,19 +301,16 @@
         self.link._up(EdgeConnection(self.link), ("127.0.0.1", 9))
         self.link.connection.transport, self.link.connection.up = Mock(), True
         self.pool.start()
-        for _ in range(20):
-            self.clock.advance(0.1)
+        self.clock.pump([0.1] * 20)
         old.heard_s = self.clock.seconds()
-        self.link.end_set_up("s")
+        self.link.open.pop("s")
         self.clock.advance(0.1)
         old.transport.loseWriteConnection.assert_not_called()
-        for _ in range(11):
-            self.clock.advance(0.1)
+        self.clock.pump([0.1] * 11)
         old.transport.loseWriteConnection.assert_called_once()
         old.dataReceived(b"\x00\x0d\x0c" + bytes.fromhex(ID) + b"\x80\x00\x01\x10")  # was on its way: heard all the same
         self.assertEqual(self.posted[-1], EdgeReleased("e", ID, Ending.BROKEN, Ending.FINISHED))
-        for _ in range(11):
-            self.clock.advance(0.1)
+        self.clock.pump([0.1] * 11)
         self.assertFalse(old.up)  # the other side need not close
 
     def links(self, *zones: str) -> list[EdgeLink]:
@@ -361,8 +355,7 @@
         links[0].leaving = True
         self.pool.limits = EdgeLimits(0.25, 27, silence_s=3, per_connection=32, connections=40)
         self.pool.start()
-        for _ in range(50):
-            self.clock.advance(0.1)
+        self.clock.pump([0.1] * 50)
         self.assertEqual([bool(link.checked) for link in links], [False, True])
 
     def test_no_pause_between_checks_keeps_an_end_from_its_viewer(self) -> None:
@@ -370,11 +363,9 @@
         self.pool.limits = EdgeLimits(0.25, 27, silence_s=3, per_connection=32, connections=40)
         self.pool.check_s = 1e9
         self.pool.start()
-        for _ in range(50):
-            self.clock.advance(0.1)
+        self.clock.pump([0.1] * 50)
         self.assertEqual(self.dialled(), 0)
-        for _ in range(15):
-            self.clock.advance(0.1)
+        self.clock.pump([0.1] * 15)
         self.assertTrue(all(link.checked for link in links))
 
     def test_when_the_notes_stay_out_few_links_are_checked(self) -> None:
