--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -454,7 +454,7 @@
 
     def _settle(self, session: Session, server: Server) -> None:
         """Departure: lower a session just set up, if the line proves fuller than was known, to the rung that
-        fits, or raise it. Its note may come ahead of its start, then counts with it. Harm: one more change."""
+        fits, or raise it. Its note may come ahead of its start and counts with it. Harm: one change more."""
         line, rung, ladder = server.line, session.rung, self.settings.ladder_kb
         over = (line.load(0.0, self.now) - LIMIT) * line.kb
         while session.state == "playing" and rung > session.cls.floor and over > 0:
