--- a/lotuspick/program/cli.py
+++ b/lotuspick/program/cli.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import importlib
-import os
-import signal
 from importlib import metadata
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from lotuspick.program import config, logs
+from lotuspick.program import logs
+from lotuspick.program.config import ConfigError
+from lotuspick.program.serve import Files
+from lotuspick.program.serve import serve as serve_viewers
 
 app = typer.Typer(help="lotuspick: a playback broker.", no_args_is_help=True, add_completion=False,
                   pretty_exceptions_enable=False)
@@ -23,15 +24,6 @@
 SeatsOption = Annotated[Path | None, typer.Option("--seats", help="The file of seats.")]
 
 
-def _load(path: Path | None, hints: Path | None, tenants: Path | None, cells: Path | None,
-          seats: Path | None) -> config.Config:
-    try:
-        return config.load(os.environ, path, hints, tenants, cells, seats)
-    except config.ConfigError as error:
-        typer.echo(f"lotuspick: {error}", err=True)
-        raise typer.Exit(2) from None
-
-
 @app.command()
 def serve(path: ConfigOption = None, hints: HintsOption = None, tenants: TenantsOption = None,
           cells: CellsOption = None, seats: SeatsOption = None,
@@ -39,26 +31,25 @@
     """Serve viewers until SIGTERM."""
     if log_level not in logs.LEVELS:
         raise typer.BadParameter(f"must be one of {', '.join(logs.LEVELS)}", param_hint="--log-level")
-    loaded = _load(path, hints, tenants, cells, seats)
-    logs.start(log_level)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end for one that comes before it is ready
-    from twisted.internet import reactor  # importing it installs it
+    try:
+        serve_viewers(Files(path, hints, tenants, cells, seats), log_level)
+    except ConfigError as error:
+        raise _unusable(error) from None
 
-    from lotuspick.program.daemon import Daemon
 
-    try:
-        daemon = Daemon(loaded, reactor, lambda: config.load(os.environ, path, hints, tenants, cells, seats))
-    except config.ConfigError as error:  # seats whose keys or store cannot be used
-        typer.echo(f"lotuspick: {error}", err=True)
-        raise typer.Exit(2) from None
-    daemon.run()
+def _unusable(error: ConfigError) -> typer.Exit:
+    typer.echo(f"lotuspick: {error}", err=True)
+    return typer.Exit(2)
 
 
 @app.command("check-config")
 def check_config(path: ConfigOption = None, hints: HintsOption = None,
                  tenants: TenantsOption = None, cells: CellsOption = None, seats: SeatsOption = None) -> None:
     """Read and check the configuration, and say what was understood."""
-    loaded = _load(path, hints, tenants, cells, seats)
+    try:
+        loaded = Files(path, hints, tenants, cells, seats).load()
+    except ConfigError as error:
+        raise _unusable(error) from None
     front = f"{loaded.hints.host}:{loaded.hints.port}" if loaded.hints.enabled else "off"
     typer.echo(f"{loaded.name}: listens on {loaded.listen[0]}:{loaded.listen[1]}, "
                f"{sum(len(change.news.servers) for change in loaded.changes)} servers known, "
--- /dev/null
+++ b/lotuspick/program/serve.py
@@ -0,0 +1,58 @@
+"""Serves viewers: what ``lotuspick serve`` does, and what the platform's line ``run`` starts by itself.
+
+``python -m lotuspick.program.serve`` takes no arguments: all that a broker of the platform is told comes with the
+environment and the files under ``deploy/``. It leaves out the command line and its library, which would stay in memory
+for as long as the broker serves.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from lotuspick.program import config, logs
+from lotuspick.program.config import ConfigError
+
+
+@dataclass(frozen=True, slots=True)
+class Files:
+    """The files that are named; None: the broker's own from ``PROXY_CONFIG``, the others from ``deploy/``."""
+
+    broker: Path | None = None
+    hints: Path | None = None
+    tenants: Path | None = None
+    cells: Path | None = None
+    seats: Path | None = None
+
+    def load(self) -> config.Config:
+        """Read and check all of them. Raises :class:`ConfigError`, whose text names file and key."""
+        return config.load(os.environ, self.broker, self.hints, self.tenants, self.cells, self.seats)
+
+
+def serve(files: Files, log_level: str = "info") -> None:
+    """Serve viewers until SIGTERM. Raises :class:`ConfigError` where it cannot begin."""
+    loaded = files.load()
+    logs.start(log_level)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end for one that comes before it is ready
+    from twisted.internet import reactor  # importing it installs it
+
+    from lotuspick.program.daemon import Daemon
+
+    Daemon(loaded, reactor, files.load).run()
+
+
+def main() -> None:
+    if sys.argv[1:]:
+        sys.exit("lotuspick: this takes no arguments, lotuspick serve does")
+    try:
+        serve(Files())
+    except ConfigError as error:
+        print(f"lotuspick: {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -469,7 +469,8 @@
 
     def __init__(self, hints: bool = False, seed: int = 1, family: dict[str, Any] | None = None,
                  limits: dict[str, int] | None = None, node: type[Node] = Node,
-                 cells: dict[str, str] | None = None, seats: str | None = None, **states: str) -> None:
+                 cells: dict[str, str] | None = None, seats: str | None = None,
+                 command: list[str] | None = None, **states: str) -> None:
         self.states = states or {"e0": "up"}
         self.actors: dict[str, Any] = {"c": Coordinator(self, "c")}
         for label, state in self.states.items():
@@ -484,7 +485,7 @@
             "coordinator": self.actors["c"].address,
             "known": {"index": 1, "updates": self.actors["c"].events[:1]}}
         config.write_text(json.dumps(self.told))
-        command = [sys.executable, "-m", "lotuspick", "serve"]
+        command = [*(command or [sys.executable, "-m", "lotuspick", "serve"])]
         if hints:
             nodes = [f'"s-{label}" = "{actor.address}"' for label, actor in self.actors.items() if label[0] == "n"]
             front = Path(self.folder.name, "hints.toml")
--- a/tests/test_cells_live.py
+++ b/tests/test_cells_live.py
@@ -20,7 +20,6 @@
 from lotuspick.cells.model import PlanError, parse
 from lotuspick.interface import ServerList
 from lotuspick.plugin import Answer, Plugin, Refused
-from lotuspick.program import config
 
 PLAN = """
 epoch = 1
@@ -199,11 +198,3 @@
         moves = parse(tomllib.loads(self.cells.read_text())).moves
         self.assertEqual(len(moves[0].pauses), 1)
         self.assertGreaterEqual(moves[0].back_us, moves[0].start_us)
-
-    def test_where_cells_are_off_nothing_of_them_is_loaded(self) -> None:
-        self.assertIsNone(config.read_cells(ROOT / "deploy" / "cells.toml"))
-        script = ("import sys, lotuspick.program.daemon, lotuspick.program.cli; from lotuspick.program import config; "
-                  "config.read_cells(); print([each for each in sys.modules "
-                  "if each.split('.')[0] in ('netaddr', 'xxhash', 'tomlkit', 'simpy') or 'lotuspick.cells' in each])")
-        done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True)
-        self.assertEqual(done.stdout, "[]\n", done.stderr)
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,95 @@
+"""What the platform's pages ask of ``deploy/balancer.toml``, as far as it shows without the platform."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tomllib
+import unittest
+from pathlib import Path
+
+from scenario import World
+from test_scenarios import PLAYING
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+PYTHON = ".venv/bin/python"  # as build leaves it there; here the interpreter that runs the tests stands for it
+HEAVY = {"typer", "rich", "ldap3", "lmdb", "msgspec", "jwt", "cryptography", "netaddr", "xxhash", "tomlkit", "http_sf",
+         "simpy", "numpy", "matplotlib"}
+PARTS = ("cells", "entitlement", "membership", "lab", "plugin", "adapter")
+
+
+def here(command: str) -> str:
+    return command.replace(PYTHON, sys.executable)
+
+
+def sockets(pid: int) -> dict[str, set[str]]:
+    """The process's sockets by the kernel's table that lists them."""
+    own = set()
+    for descriptor in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            own.add(os.readlink(descriptor).removeprefix("socket:[").removesuffix("]"))
+        except FileNotFoundError:
+            continue
+    found = {}
+    for table, column in (("tcp", 9), ("tcp6", 9), ("udp", 9), ("udp6", 9), ("unix", 6)):
+        lines = Path(f"/proc/{pid}/net/{table}").read_text().splitlines()[1:]
+        found[table] = own & {line.split()[column] for line in lines}
+    return found
+
+
+class Deploy(unittest.TestCase):
+    def test_run_ends_in_one_process_with_sockets_over_ipv4_alone(self) -> None:
+        self.assertTrue(DEPLOY["run"].startswith(f"exec {PYTHON} "), DEPLOY["run"])
+        self.assertFalse(set(DEPLOY["run"]) & set("&|;`$<>()\n"))
+        world = World(command=["/bin/sh", "-c", here(DEPLOY["run"])])
+        self.addCleanup(world.end)
+        pid = world.broker.process.pid
+        world.play(PLAYING)
+        self.assertTrue(os.path.samefile(f"/proc/{pid}/exe", os.path.realpath(sys.executable)))
+        tasks = list(Path(f"/proc/{pid}/task").iterdir())
+        self.assertEqual([(task / "children").read_text() for task in tasks], [""] * len(tasks))
+        maps = Path(f"/proc/{pid}/maps").read_text()
+        self.assertRegex(maps, r"/libc[.-]")
+        held = sockets(pid)
+        self.assertGreaterEqual(len(held["tcp"]), 3)  # the listener, a viewer and an edge server
+        self.assertEqual(held["tcp6"] | held["udp6"], set())
+        self.assertLessEqual(len(held["unix"]), 2)  # the pair by which the reactor wakes itself; nobody listens
+        world.play("""
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+            b send TERM
+            b expect EXIT code=0
+        """)
+
+    def test_run_loads_nothing_that_is_off(self) -> None:
+        module = DEPLOY["run"].split(" -m ")[1].split()[0]
+        script = (f"import json, sys, {module}; from lotuspick.program import config; config.read_hints(); "
+                  "config.read_tenants(); config.read_cells(); import twisted.internet.reactor, "
+                  "lotuspick.program.daemon; print(json.dumps(sorted(sys.modules)))")
+        done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True)
+        loaded = json.loads(done.stdout or "[]")
+        self.assertTrue(loaded, done.stderr)
+        self.assertEqual([name for name in loaded if name.split(".")[0] in HEAVY], [])
+        self.assertEqual([name for name in loaded if name.startswith("lotuspick.")
+                          and name.split(".")[1] in PARTS], [])
+
+    def test_run_takes_no_arguments_and_names_what_it_cannot_use(self) -> None:
+        for words, wanted in (("serve", "takes no arguments"), ("", "PROXY_CONFIG is not set")):
+            done = subprocess.run(["/bin/sh", "-c", f"{here(DEPLOY['run'])} {words}"], cwd=ROOT, capture_output=True,
+                                  text=True, env={"PATH": os.environ["PATH"]})
+            self.assertNotEqual(done.returncode, 0)
+            self.assertIn(wanted, done.stderr)
+
+    def test_policy_and_node_name_what_is_there(self) -> None:
+        for path in DEPLOY["policy"] + DEPLOY["node"]:
+            self.assertTrue((ROOT / path).exists(), path)
+        lines = sum(bool(line.strip()) for path in DEPLOY["policy"] for line in (ROOT / path).read_text().splitlines())
+        self.assertLessEqual(lines, 750)
+        self.assertTrue(DEPLOY["sim"].startswith(f"exec {PYTHON} "))
+
+
+if __name__ == "__main__":
+    unittest.main()
