--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -258,7 +258,7 @@
             HANDLERS[type(event)](self, event)
         if self.held:
             self._serve_held()
-        self.changed.clear()
+        self.changed, self.fits = set(), {}
         if now - self.checked_us >= POLL_US * 10:
             rise = FREE_RISE * self._turns(min(now - self.checked_us, 2 * NOTE_US))
             self.free_from, self.checked_us = min(FREE_MOST, self.free_from + rise), now
@@ -682,7 +682,7 @@
     # ---- placing ------------------------------------------------------------------------------------------
 
     def _serve_held(self) -> None:
-        sizes, links, self.fits = self._pool_sizes(), self.links.value(self.now), {}
+        sizes, links = self._pool_sizes(), self.links.value(self.now)
         if self.settings.reports_rack:
             averages = (links, self.uplinks.value(self.now))
         else:
--- /dev/null
+++ b/tests/test_turnover.py
@@ -0,0 +1,143 @@
+"""A simulated week in which all turns over: what is kept is bounded by what is alive."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import deque
+from typing import Any
+from unittest.mock import Mock
+
+from helpers import SECOND, entry, request, settings
+
+from lotuspick.control import Controller
+from lotuspick.interface import ServerList, TenantRates
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.loop import Loop
+from lotuspick.routing.ports import (
+    Asked,
+    EdgeAnswered,
+    EdgeDown,
+    EdgeNoted,
+    EdgeReleased,
+    Roster,
+    SetUp,
+    Tenants,
+    ViewerCame,
+    ViewerLost,
+)
+
+DAY_S, STEP_S, NODES = 86_400, 600, 8
+
+
+def entries(root: Any) -> dict[str, int]:
+    """How much is kept under each name of an object and of what it holds: entries of containers, by path of names."""
+    found: dict[str, int] = {}
+    seen, ahead = set[int](), deque([("", root)])
+    while ahead:
+        path, value = ahead.popleft()
+        if id(value) in seen:
+            continue
+        seen.add(id(value))
+        if isinstance(value, (dict, list, set, frozenset, tuple, deque)):
+            found[path] = found.get(path, 0) + len(value)
+            inner = [*value.keys(), *value.values()] if isinstance(value, dict) else list(value)
+            ahead.extend((path, each) for each in inner)
+        elif type(value).__module__.startswith("lotuspick"):
+            names = [*getattr(value, "__dict__", ()), *getattr(type(value), "__slots__", ())]
+            ahead.extend((f"{path}.{name}", getattr(value, name)) for name in names if hasattr(value, name))
+    return found
+
+
+class Week:
+    """A loop with the real decisions between viewers and nodes that all change. A node in three never says how full it
+    is. Where it is troubled, some set-ups are never answered and nodes are replaced, some of them dead with what stands
+    on them; else nothing is ever tried again, and no node goes."""
+
+    def __init__(self, troubled: bool) -> None:
+        self.troubled = troubled
+        self.draw, self.now_us, self.wake_us = random.Random(7), 20 * SECOND, 0
+        self.sent: list[tuple[str, str]] = []
+        edges = Mock(set_up=self.set_up, give_up=lambda edge, session: False)
+        self.core = Controller(settings(positions=NODES, budget_free=1.0, budget_ratio=0.1,
+                                        budget_window_us=10 * SECOND, retry_after=True,
+                                        max_retry_after_us=2 * SECOND), 7)
+        self.loop = Loop(self.core, edges, lambda: self.now_us, self.wake, 10_000, frozenset({"clip", "exam"}))
+        self.nodes = {at: 0 for at in range(NODES)}
+        self.made = 0
+        self.loop.post(Roster(ServerList([self.node(at) for at in self.nodes], complete=True)))
+        self.loop.post(Tenants(TenantRates({f"t{at}": 1.0 for at in range(3)})))
+
+    def node(self, at: int, **changes: Any) -> Any:
+        return entry(at, server=f"s{at}-{self.nodes[at]}", **changes)
+
+    def set_up(self, edge: str, ask: SetUp) -> None:
+        self.sent.append((edge, ask.session))
+
+    def wake(self, at_us: int) -> None:
+        self.wake_us = at_us
+
+    def until(self, at_us: int) -> None:
+        """Let the loop run as its timers say."""
+        while self.wake_us and self.wake_us <= at_us:
+            self.now_us, self.wake_us = max(self.now_us, self.wake_us), 0
+            self.loop.tick()
+        self.now_us = at_us
+
+    def step(self) -> None:
+        """A crowd of viewers, then quiet."""
+        began_us, draw, loop = self.now_us, self.draw, self.loop
+        viewer = Mock(open=True)
+        loop.post(ViewerCame(viewer))
+        for _ in range(12):
+            self.made += 1
+            loop.post(Asked(request(
+                f"q{self.made}", self.now_us, cls=draw.choice(["clip", "exam"]), title=f"title{self.made}",
+                viewer=f"v{self.made}", home=draw.randrange(NODES), copies=3, tenant=f"t{draw.randrange(3)}",
+                length_us=draw.choice([None, 30e6, 100e6])), viewer=viewer))
+        self.until(self.now_us + SECOND // 10)
+        sent, self.sent = self.sent, []
+        for edge, session in sent:
+            if not self.troubled or draw.random() < 0.9:
+                loop.post(EdgeAnswered(edge, session, b"v=0"))
+                if int(edge[1]) % 3:
+                    loop.post(EdgeNoted(edge, session, "link", draw.random() / 2))
+        self.until(self.now_us + 20 * SECOND)
+        for edge, session in sent:
+            if draw.random() < 0.8:
+                loop.post(EdgeReleased(edge, session, Ending.NO_ANSWER, Ending.FINISHED))
+        self.until(self.now_us + SECOND)
+        if self.troubled:
+            at = draw.randrange(NODES)
+            dies, gone = draw.random() < 0.3, self.node(at, state="gone")
+            if dies:
+                loop.post(EdgeDown(gone.server, Ending.DOWN))
+            self.nodes[at] += 1
+            loop.post(Roster(ServerList([gone, self.node(at, started_us=self.now_us)])))
+        loop.post(ViewerLost(viewer))
+        viewer.open = False
+        for session, standing in list(loop.table.items()):  # nothing plays for longer
+            if standing.stands:
+                loop.post(EdgeReleased(standing.edge, session, Ending.NO_ANSWER, Ending.FINISHED))
+        self.until(began_us + STEP_S * SECOND)
+
+
+class TurnOver(unittest.TestCase):
+    def test_a_week_of_troubles_leaves_no_more_than_a_day(self) -> None:
+        self.week(True)
+
+    def test_a_week_of_calm_leaves_no_more_than_a_day(self) -> None:
+        self.week(False)
+
+    def week(self, troubled: bool) -> None:
+        week, kept = Week(troubled), []
+        for _ in range(7):
+            for _ in range(DAY_S // STEP_S):
+                week.step()
+            kept.append(entries(week.loop))
+        self.assertGreater(week.made, 12_000)
+        self.assertFalse(week.loop.table)
+        more = {path: (kept[0].get(path, 0), count) for path, count in kept[-1].items()
+                if count > 1.6 * kept[0].get(path, 0) + 2 * NODES}
+        self.assertEqual(more, {})
+        self.assertLessEqual(len(week.core.servers), 2 * NODES)
