Read the coordinator's feed with h11 in place of Twisted's agent, for a smaller broker

Need: 1.2 MiB of a broker's memory was the agent and what it brings, used for one question at a time. Weighed: the agent (as it was), Twisted's older HTTPClient (brings most of the same modules), h11 (a codec without I/O, 0.3 MiB). A wait, its bound in bytes, the pause after a fault and the move at SIGHUP are as before; a connection that is closed as a question goes out is dialled anew at once, as the agent did. Tests drive it on a clock: cut at any byte, chunked, ended by its connection, spoilt, too long, silent, moved.

--- a/lotuspick/transport/bodies.py
+++ b/lotuspick/transport/bodies.py
@@ -10,9 +10,7 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
 
-from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
-
-MOST = 4 * MOST_BYTES  # the list of a large fleet is longer than a message
+from lotuspick.protocol.faults import MOST_ANSWER, ProtocolFault
 
 
 class _Body(protocol.Protocol):
@@ -26,7 +24,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         self.parts += data
-        if len(self.parts) > MOST:
+        if len(self.parts) > MOST_ANSWER:
             self._finish(Failure(ProtocolFault("answer is too long")))
             self._abandon()
 
--- a/lotuspick/transport/coordinator.py
+++ b/lotuspick/transport/coordinator.py
@@ -1,4 +1,7 @@
-"""The coordinator's feed: a long poll that is asked again at once, whatever happens to it."""
+"""The coordinator's feed: a long poll that is asked again at once, whatever happens to it.
+
+HTTP is read by h11, which is a fifth of Twisted's agent in memory: a broker holds this for as long as it serves.
+"""
 
 from __future__ import annotations
 
@@ -6,14 +9,15 @@
 from collections.abc import Callable
 from typing import Any
 
+import h11
+from twisted.internet import error, protocol
 from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool
 
 from lotuspick.protocol import coordinator as wire
-from lotuspick.protocol.faults import ProtocolFault
+from lotuspick.protocol.faults import MOST_ANSWER, MOST_BYTES, ProtocolFault
 from lotuspick.transport.base import Reactor
-from lotuspick.transport.bodies import read_body
 
 log = logging.getLogger(__name__)
 
@@ -22,15 +26,87 @@
 AGAIN_S = 0.1  # pause after a failure, so that a coordinator that refuses is not asked in a tight loop
 
 
+class Link(protocol.Protocol):
+    """One connection: one question at a time, and the next on the same connection where the answer allows it."""
+
+    transport: Any
+
+    def __init__(self, host: str) -> None:
+        self.host, self.up = host, True
+        self.http = h11.Connection(h11.CLIENT, MOST_BYTES)
+        self.asked: Deferred[bytes] | None = None
+        self.status, self.body = 0, b""
+
+    def ask(self, target: str) -> Deferred[bytes]:
+        """The body of the answer; fails with :class:`ProtocolFault` or with how the connection ended."""
+        asked: Deferred[bytes] = Deferred(lambda _: self._abandon())
+        self.asked = asked
+        self.status, self.body = 0, b""
+        question = h11.Request(method="GET", target=target, headers=[("Host", self.host)])
+        self.transport.write((self.http.send(question) or b"") + (self.http.send(h11.EndOfMessage()) or b""))
+        return asked
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            while self._read(self.http.next_event()):
+                pass
+        except (h11.RemoteProtocolError, ProtocolFault) as error:
+            self._finish(Failure(ProtocolFault(str(error))))
+            self._abandon()
+
+    def _read(self, event: Any) -> bool:
+        """Take one event; whether another may be ready."""
+        match event:
+            case h11.Response():
+                self.status = event.status_code
+            case h11.Data():
+                self.body += event.data
+                if len(self.body) > MOST_ANSWER:
+                    raise ProtocolFault("answer is too long")
+            case h11.EndOfMessage():
+                if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+                    self.http.start_next_cycle()
+                else:
+                    self.leave()
+                self._finish(self.body if self.status == 200 else Failure(ProtocolFault(f"status {self.status}")))
+            case h11.InformationalResponse():
+                pass
+            case _:  # more has to come, or nothing more will
+                return False
+        return True
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self.up = False
+        if self.status:
+            self.dataReceived(b"")  # an answer that ends with its connection is whole now
+        self._finish(reason)
+
+    def _finish(self, result: bytes | Failure) -> None:
+        asked, self.asked = self.asked, None
+        if asked is not None and not asked.called:
+            asked.callback(result)
+
+    def leave(self) -> None:
+        """Close it in order; nothing is asked on it any more."""
+        self.up = False
+        self.transport.loseConnection()
+
+    def _abandon(self) -> None:
+        self.up = False
+        self.transport.abortConnection()
+
+
 class Feed:
     """Follows the coordinator from an index on."""
 
     def __init__(self, reactor: Reactor, address: str, index: int,
                  tell: Callable[[wire.Change], None]) -> None:
         self.reactor, self.address, self.index, self.tell = reactor, address, index, tell
-        self.agent = Agent(reactor, connectTimeout=GRACE_S, pool=HTTPConnectionPool(reactor))
         self.failing = self.moved = False
-        self.asked: Deferred[Any] | None = None
+        self.asked: Deferred[bytes] | None = None
+        self.link: Link | None = None
+        self.kept = False  # whether the last question went out on a connection that was open already
 
     def move(self, address: str) -> None:
         """Follow another coordinator from the same index on. Guards against a wait at the old one that tells
@@ -40,22 +116,27 @@
         self.address, self.moved = address, True
         if self.asked is not None:
             self.asked.cancel()
+        if self.link is not None and self.link.up:
+            self.link.leave()
 
     def poll(self) -> None:
         """Ask for what is later than the last index; never stops."""
         self.moved = False
-        url = f"http://{self.address}/v2/stream?follow={self.index}&wait_ms={WAIT_MS}"
-        asked: Deferred[Any] = self.agent.request(b"GET", url.encode())
+        self.kept = self.link is not None and self.link.up
+        if self.link is not None and self.link.up:
+            asked = self._ask(self.link)
+        else:
+            host, port = wire.address(self.address)
+            links: Any = protocol.Factory.forProtocol(lambda: Link(self.address))
+            asked = TCP4ClientEndpoint(self.reactor, host, port, timeout=GRACE_S).connect(links).addCallback(self._ask)
         self.asked = asked
-        asked.addCallback(self._answer)
         asked.addTimeout(WAIT_MS / 1_000 + GRACE_S, self.reactor)
         asked.addCallbacks(self._read, self._failed)
         asked.addErrback(self._failed)
 
-    def _answer(self, response: Any) -> Deferred[bytes]:
-        if response.code != 200:
-            raise ProtocolFault(f"status {response.code}")
-        return read_body(response)
+    def _ask(self, link: Link) -> Deferred[bytes]:
+        self.link = link
+        return link.ask(f"/v2/stream?follow={self.index}&wait_ms={WAIT_MS}")
 
     def _read(self, body: bytes) -> None:
         answer = wire.parse(body, self.index)
@@ -70,6 +151,9 @@
         self.reactor.callLater(0, self.poll)
 
     def _failed(self, reason: Failure) -> None:
+        if self.kept and reason.check(error.ConnectionDone, error.ConnectionLost):
+            self.reactor.callLater(0, self.poll)  # it was closed as the question went out: that is no fault yet
+            return
         if not self.failing and not self.moved:
             log.warning("coordinator does not answer", extra={"fault": reason.getErrorMessage()[:200]})
             self.failing = True
