--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -491,10 +491,10 @@
             return
         line = max((server.line, server.rack), key=lambda each: each.load(0.0, self.now))
         busy = line.load(0.0, self.now)
-        # This gateway's part of the room; a step over the part is taken by chance.
-        part = 1.0 if fresh else min(1.0, line.own_kb / (busy * line.kb + 1e-9))
+        part = 1.0 if fresh else min(1.0, line.own_kb / (busy * line.kb + 1e-9))  # of the room: by chance
         worth, cost = self.settings.rung_worth, RAISE_GAIN * self.settings.change_cost_s * 1e6
-        for session in sorted([fresh] if fresh else server.own.values(), key=lambda each: each.rung):
+        can = [fresh] if fresh else [each for each in server.own.values() if each.rung < each.admitted]
+        for session in sorted(can, key=lambda each: each.rung):
             up, left_us = session.rung + 1, session.ends_us - self.now
             if (session.state == "playing" and up <= session.admitted
                     and (worth[up] - worth[up - 1]) * left_us > cost):  # it pays in the time left
