Begin membership: the step form, members that watch each other on rings, a simulated network

Change: lotuspick/steps.py holds events, effects and what a driver keeps, with the outbox by which no promise outruns the disk. lotuspick/membership/ holds the values (records that merge without order) and the members: each is watched on four rings, accusations can be refuted and take a second watcher, pings go by way of others, a process that was away accuses nobody, a digest a second finds views that differ, a life rises with each start and lasts before it is claimed. lotuspick/lab/net plays them by seed: loss, delay, doubling, cuts each way, stalls, crashes with and without disk, clock rates.

--- /dev/null
+++ b/lotuspick/membership/members.py
@@ -0,0 +1,445 @@
+"""What one broker believes of all: failure detection, joining, leaving, returning. Pure, in the step form.
+
+Each member is watched by the members before it on a few rings (Suresh et al., "Stable and Consistent Membership at
+Scale with Rapid", 2018), so that what a broker sends and the time until a death is seen do not grow with the fleet.
+Suspicion that the accused can refute, news carried by the pings themselves and pings by way of others are SWIM's (Das
+et al., 2002); that a process which was away itself accuses nobody is Lifeguard's (Dadgar et al., 2018). A death takes a
+second watcher that says the same, so one broker with a bad line buries nobody. ``docs/membership/design.md`` weighs it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from lotuspick.membership.model import (
+    MOST_RECORDS,
+    Accusation,
+    Ack,
+    Changed,
+    Digest,
+    Displaced,
+    MembershipFault,
+    Message,
+    News,
+    Ping,
+    Record,
+    Relay,
+    Rules,
+    Stalled,
+    State,
+    Sync,
+    checked,
+)
+from lotuspick.steps import Asked, Effect, Event, Fired, Heard, Lasting, Send, SetTimer, Started, Tell, Write
+
+PERIOD, LIFE = "period", "life"
+HELPERS = 2  # brokers asked to ping one that does not answer
+MOST_RELAYED = 256  # pings for others that are waited for
+REFUSED = 64  # names of peers whose messages were refused: counted, the oldest forgotten
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Asked: say goodbye."""
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Asked at the start, after ``Started``: who this broker is, and at which addresses others may be found."""
+
+    name: str
+    address: str
+    seeds: tuple[str, ...] = ()
+    zone: str = ""
+    version: str = ""
+    offers: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Doubt:
+    """A member that is accused: since when without a break, and who says so, each with the time of its last word."""
+
+    since_us: int
+    by: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Rumour:
+    """A piece of news, and how often it is to be told still."""
+
+    news: News
+    times: int
+
+
+class Members:
+    """One broker's view. Peers are named by the addresses of their links."""
+
+    def __init__(self, rules: Rules | None = None) -> None:
+        self.rules = rules or Rules()
+        self.own: Record | None = None
+        self.seeds: tuple[str, ...] = ()
+        self.records: dict[str, Record] = {}  # by name; this broker's own is among them
+        self.since: dict[str, int] = {}  # when each was last changed here
+        self.joined = False  # an answer of the fleet has come, or there is none to be asked
+        self.displaced = self.left = False
+        self.false_accusations = 0  # of others, by this broker, that were refuted
+        self.refused: dict[str, int] = {}  # messages that could not be used, by peer
+        self._random = random.Random(0)
+        self._life = 0
+        self._subjects: list[str] = []  # whom this broker watches
+        self._rings: list[list[str]] = []
+        self._places: dict[str, tuple[int, ...]] = {}  # of each member on the rings
+        self._stale = False  # who is alive has changed since the rings were drawn
+        self._heard: dict[str, int] = {}  # signs of life of those
+        self._doubts: dict[str, Doubt] = {}
+        self._accused: set[str] = set()  # by this broker
+        self._gossip: dict[tuple[str, str], Rumour] = {}
+        self._relayed: dict[int, tuple[str, int]] = {}  # pings for others: who asked, under which number
+        self._number = 0
+        self._period_us = self._synced_us = 0
+        self._out: list[Effect] = []
+        self._now = 0
+
+    # ---- the step -----------------------------------------------------------------------------------------
+
+    def step(self, now: int, event: Event) -> Sequence[Effect]:
+        """Take one event; see :mod:`lotuspick.steps`."""
+        self._now, self._out = now, []
+        match event:
+            case Started():
+                self._random = random.Random(event.seed)
+                self._life = int(event.records.get(LIFE, b"0")) + 1
+            case Asked(what=Begin() as begin):
+                self._begin(begin)
+            case Asked(what=Leave()):
+                self._leave()
+            case Fired(timer=timer) if timer == PERIOD and self._takes_part:
+                self._period()
+            case Heard(peer=peer, message=message) if self._takes_part:
+                try:
+                    self._message(peer, message)
+                except MembershipFault:
+                    self.refused[peer] = self.refused.pop(peer, 0) + 1
+                    if len(self.refused) > REFUSED:
+                        del self.refused[next(iter(self.refused))]
+            case Lasting() | Fired() | Heard() | Asked():
+                pass
+        return self._out
+
+    @property
+    def _takes_part(self) -> bool:
+        return self.own is not None and not self.displaced and not self.left
+
+    def alive(self) -> list[Record]:
+        """Those who are believed to be there, this broker included, by name."""
+        return sorted((each for each in self.records.values() if each.state is State.ALIVE), key=lambda each: each.name)
+
+    def reached(self) -> list[Record]:
+        """Those who give signs of life as far as this broker knows: it is one of them, and who is accused is not. A
+        broker that is cut off declares nobody dead where it is the only one to say so, but it reaches nobody."""
+        return [each for each in self.alive() if each.name not in self._doubts]
+
+    def accused(self) -> dict[str, tuple[str, ...]]:
+        """Who is accused at present, and by whom."""
+        return {name: tuple(sorted(doubt.by)) for name, doubt in self._doubts.items()}
+
+    # ---- start and end ------------------------------------------------------------------------------------
+
+    def _begin(self, begin: Begin) -> None:
+        self.seeds = tuple(each for each in begin.seeds if each != begin.address)
+        self.joined = not self.seeds
+        self.own = checked(Record(begin.name, self._life, self._random.getrandbits(63), 0, State.ALIVE, begin.address,
+                                  begin.zone, begin.version, begin.offers))
+        self._out.append(Write(LIFE, b"%d" % self._life))  # before any message that claims this life
+        self._period_us = self._synced_us = self._now
+        self._take(self.own, begin.name, "start")
+        self._out.append(SetTimer(PERIOD, self._random.randrange(1, self.rules.period_us + 1)))
+        self._ask_seeds()
+
+    def _ask_seeds(self) -> None:
+        """What the fleet remembers of this name is learned before anything is claimed under it."""
+        for seed in self.seeds:
+            self._send(seed, Sync([], answer=True), sure=True)
+
+    def _leave(self) -> None:
+        if self.own is None or self.left:
+            return
+        gone = msgspec.structs.replace(self.own, state=State.LEFT, turn=self.own.turn + 1)
+        told = [each.address for each in self.alive() if each.name != gone.name]
+        for address in self._random.sample(told, min(len(told), max(3, self.rules.watchers))):
+            self._send(address, Sync([gone]), sure=True)
+        self.own, self.left = gone, True
+        self._take(gone, gone.name, "left")
+
+    def _rise(self, over: Record) -> None:
+        """This process is the latest under its name: take a life above one that the fleet remembers."""
+        assert self.own is not None
+        self._life = max(self._life, over.life) + 1
+        self._out.append(Write(LIFE, b"%d" % self._life))
+        self.own = msgspec.structs.replace(self.own, life=self._life, turn=0)
+        self._take(self.own, self.own.name, "the fleet remembers an earlier life")
+
+    # ---- what is believed ---------------------------------------------------------------------------------
+
+    def _take(self, record: Record, by: str, why: str) -> None:
+        """Take what is said of a member, if it stands against what is believed."""
+        own, before = self.own, self.records.get(record.name)
+        if own is not None and not self.joined and record.name == own.name and record.process != own.process:
+            if record.life >= own.life:
+                self._rise(record)  # an earlier self: its process is the latest under the name
+            return
+        if before is not None and not record.beats(before):
+            return
+        if own is not None and record.name == own.name and record != own:
+            self._of_self(record)
+            return
+        self.records[record.name] = record
+        self.since[record.name] = self._now
+        self._doubts.pop(record.name, None)  # of an earlier turn, or of one that is dead by now
+        if record.name in self._accused:
+            self._accused.discard(record.name)
+            self.false_accusations += record.state is State.ALIVE
+        self._tell_others(record)
+        if before is None or (before.process, before.state, before.address) != (
+                record.process, record.state, record.address):
+            self._out.append(Tell(Changed(record, by, why)))
+            self._stale = True
+        if record.state is not State.ALIVE:
+            self._bury()
+
+    def _of_self(self, record: Record) -> None:
+        """Others say of this broker's name what it did not say itself."""
+        own = self.own
+        assert own is not None
+        if record.process == own.process:
+            if record.state is State.DEAD:  # refuted
+                self.own = msgspec.structs.replace(own, turn=record.turn + 1)
+                self._take(self.own, own.name, "refuted")
+        elif record.state is not State.ALIVE or record.address == own.address:
+            self._rise(record)  # an earlier self that nobody told of on joining: dead, or where this one is now
+        else:
+            self.displaced = True
+            self.records[record.name] = record
+            self._out.append(Tell(Displaced(record)))
+
+    def _bury(self) -> None:
+        gone = [each for each in self.records.values() if each.state is not State.ALIVE]
+        old = [each for each in gone if self._now - self.since[each.name] > self.rules.forget_us]
+        if len(gone) - len(old) > self.rules.graveyard:
+            old = sorted(gone, key=lambda each: self.since[each.name])[:len(gone) - self.rules.graveyard]
+        for each in old:
+            del self.records[each.name], self.since[each.name]
+
+    def _redraw(self) -> None:
+        """Draw the rings anew, once a period at most: in a large fleet many come and go together."""
+        self._stale = False
+        names = [each.name for each in self.alive()]
+        self._places = {name: self._places.get(name) or tuple(
+            xxh3_64_intdigest(name.encode(), seed=ring) for ring in range(self.rules.watchers)) for name in names}
+        self._rings = [sorted(names, key=lambda name: (self._places[name][ring], name))
+                       for ring in range(self.rules.watchers)]
+        self._look()
+
+    def _look(self) -> None:
+        """Whom this broker watches: on each ring the next, and past those that are accused the one after them, so that
+        a row of dead ones is not found out one death after another."""
+        assert self.own is not None
+        subjects: dict[str, None] = {}
+        for ring in self._rings:
+            if self.own.name not in ring:
+                continue
+            at = ring.index(self.own.name)
+            for step in range(1, len(ring)):
+                name = ring[(at + step) % len(ring)]
+                if self.records[name].state is State.ALIVE:
+                    subjects[name] = None
+                    if name not in self._doubts:
+                        break
+        self._subjects = list(subjects)
+        self._heard = {name: self._heard.get(name, self._now) for name in subjects}
+        for name in self._accused - subjects.keys():
+            self._accused.discard(name)
+
+    def _watchers(self, name: str) -> set[str]:
+        """Those before a member on the rings."""
+        return {ring[ring.index(name) - 1] for ring in self._rings if name in ring} - {name}
+
+    # ---- each period --------------------------------------------------------------------------------------
+
+    def _period(self) -> None:
+        rules, away_us = self.rules, self._now - self._period_us - self.rules.period_us
+        self._period_us = self._now
+        self._out.append(SetTimer(PERIOD, rules.period_us))
+        if away_us > rules.period_us:
+            # What came meanwhile has not been read yet: nobody is silent but this process itself.
+            self._heard = dict.fromkeys(self._heard, self._now)
+            self._accused.clear()
+            for doubt in self._doubts.values():
+                doubt.since_us = self._now
+            self._out.append(Tell(Stalled(away_us)))
+        if self._stale:
+            self._redraw()
+        self._accuse()
+        self._judge()
+        for name in self._subjects:
+            self._ping(name)
+        if self._now - self._synced_us >= rules.sync_us:
+            self._synced_us = self._now
+            self._exchange()
+
+    def _ping(self, name: str) -> None:
+        self._number += 1
+        self._send(self.records[name].address, Ping(self._number, self._news(name)))
+        if self._now - self._heard[name] >= self.rules.silent_us // 2:
+            others = [each.address for each in self.alive()
+                      if each.name not in (name, self._own_name) and each.name not in self._doubts]
+            for address in self._random.sample(others, min(HELPERS, len(others))):
+                self._send(address, Relay(self._number, name, self._news()))
+
+    @property
+    def _own_name(self) -> str:
+        assert self.own is not None
+        return self.own.name
+
+    def _accuse(self) -> None:
+        silent = [name for name, at_us in self._heard.items() if self._now - at_us >= self.rules.silent_us]
+        for name in silent:  # whom it watches may change with each
+            if name in self._heard:
+                self._accused.add(name)
+                of = self.records[name]
+                self._doubted(Accusation(name, of.life, of.run, of.turn, self._own_name))
+
+    def _doubted(self, said: Accusation) -> None:
+        """Take an accusation, if it is of what is believed now."""
+        of = self.records.get(said.name)
+        if of is None or of.state is not State.ALIVE or (of.life, of.run, of.turn) != (said.life, said.run, said.turn):
+            return
+        if said.name == self._own_name:
+            assert self.own is not None
+            self.own = msgspec.structs.replace(self.own, turn=self.own.turn + 1)
+            self._take(self.own, self._own_name, f"refutes {said.by}")
+            return
+        fresh = said.name not in self._doubts
+        doubt = self._doubts.setdefault(said.name, Doubt(self._now))
+        known_us = doubt.by.get(said.by)
+        doubt.by[said.by] = self._now
+        if known_us is None or said.by == self._own_name:
+            self._tell_others(said)
+        if fresh:
+            self._look()
+
+    def _judge(self) -> None:
+        """Who has been accused for long enough by enough of its watchers is dead; an accusation that is not renewed is
+        dropped."""
+        rules = self.rules
+        for name, doubt in list(self._doubts.items()):
+            for by in [by for by, at_us in doubt.by.items() if self._now - at_us > 2 * rules.silent_us]:
+                del doubt.by[by]
+            if not doubt.by:
+                del self._doubts[name]
+                self._look()
+            elif name in self._accused and self._now - doubt.since_us >= rules.doubt_us:
+                watchers = self._watchers(name)
+                if len(doubt.by.keys() & watchers | doubt.by.keys() & {self._own_name}) >= min(
+                        rules.quorum, max(1, len(watchers))):
+                    record = msgspec.structs.replace(self.records[name], state=State.DEAD)
+                    self._take(record, self._own_name, "silent, say " + " ".join(sorted(doubt.by)))
+
+    def _exchange(self) -> None:
+        """One live member is asked whether it believes the same, and one that is dead or a seed that is not known to
+        live: two halves of a fleet that were cut apart find each other again."""
+        if not self.joined:
+            self._ask_seeds()
+        here = {each.address for each in self.alive()}
+        live = sorted(here - {self.records[self._own_name].address})
+        dead = {each.address for each in self.records.values() if each.state is State.DEAD}
+        for among in (live, sorted((dead | set(self.seeds)) - here)):
+            if among:
+                self._send(self._random.choice(among), Digest(self._digest()), sure=True)
+
+    # ---- messages -----------------------------------------------------------------------------------------
+
+    def _message(self, peer: str, message: object) -> None:
+        match message:
+            case Ping():
+                self._hear(message.news, peer)
+                self._send(peer, Ack(message.number, self._own_name, self._news()))
+            case Ack():
+                self._hear(message.news, peer)
+                self._sign(message.of)
+                asked = self._relayed.pop(message.number, None)
+                if asked is not None:
+                    self._send(asked[0], Ack(asked[1], message.of, self._news()))
+            case Relay():
+                self._hear(message.news, peer)
+                target = self.records.get(message.target)
+                if target is not None and target.state is State.ALIVE and target.name != self._own_name:
+                    self._number += 1
+                    self._relayed[self._number] = (peer, message.number)
+                    if len(self._relayed) > MOST_RELAYED:
+                        del self._relayed[next(iter(self._relayed))]
+                    self._send(target.address, Ping(self._number, self._news(target.name)))
+            case Sync():
+                if len(message.records) > MOST_RECORDS:
+                    raise MembershipFault(f"{len(message.records)} records, over {MOST_RECORDS}")
+                for record in message.records:
+                    self._take(checked(record), peer, "told all")
+                if not self.displaced:
+                    if message.answer or not self.joined:
+                        self._send(peer, self._everything(answer=False), sure=True)
+                    self.joined |= not message.answer
+            case Digest():
+                if message.value != self._digest():
+                    self._send(peer, self._everything(answer=True), sure=True)
+            case _:
+                raise MembershipFault(f"a message of the kind {type(message).__name__}")
+
+    def _hear(self, news: Sequence[News], peer: str) -> None:
+        for each in news:
+            if isinstance(each, Record):
+                self._take(checked(each), peer, "told")
+            else:
+                self._doubted(each)
+            if self.displaced:
+                return
+
+    def _sign(self, name: str) -> None:
+        """A sign of life of one that is watched: what this broker said against it is taken back."""
+        if name in self._heard:
+            self._heard[name] = self._now
+        doubt = self._doubts.get(name)
+        if doubt is not None and name in self._accused:
+            self._accused.discard(name)
+            self.false_accusations += 1
+            doubt.by.pop(self._own_name, None)
+
+    def _send(self, peer: str, message: Message, sure: bool = False) -> None:
+        if not self.displaced:
+            self._out.append(Send(peer, message, sure))
+
+    def _everything(self, answer: bool) -> Sync:
+        return Sync(sorted(self.records.values(), key=lambda each: each.name), answer)
+
+    def _digest(self) -> int:
+        """Of the living alone: of the dead each forgets some in its own time."""
+        return xxh3_64_intdigest(repr([(each.name, each.life, each.run, each.turn) for each in self.alive()]).encode())
+
+    def _tell_others(self, news: News) -> None:
+        times = self.rules.spread * max(1, len(self.records).bit_length())
+        key = (news.name, news.by if isinstance(news, Accusation) else "")
+        self._gossip.pop(key, None)
+        self._gossip[key] = Rumour(news, times)
+
+    def _news(self, to: str = "") -> list[News]:
+        """The news for one message: first what concerns the one it goes to, then what was told least often."""
+        told = sorted(self._gossip.items(), key=lambda each: (each[0][0] != to, -each[1].times))[:self.rules.piggyback]
+        for key, rumour in told:
+            rumour.times -= 1
+            if not rumour.times:
+                del self._gossip[key]
+        return [rumour.news for _, rumour in told]
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,372 @@
+"""Who is there and who has failed, on the simulated network."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from lotuspick.lab.net.world import Weather, World
+from lotuspick.membership.members import LIFE, Begin, Leave, Members
+from lotuspick.membership.model import (
+    Ack,
+    Changed,
+    Displaced,
+    MembershipFault,
+    Record,
+    Rules,
+    Stalled,
+    State,
+    Sync,
+    checked,
+)
+from lotuspick.steps import Asked, Heard, Lasting, Outbox, Send, SetTimer, Started, Tell, Write
+
+SECOND = 1_000_000
+SETTLED_US = 5 * SECOND  # after the last fault all views agree within this
+
+
+class Fleet(World):
+    """Brokers b0, b1, ... at h0, h1, ...; the first three are seeds."""
+
+    def __init__(self, count: int, seed: int, weather: Weather | None = None, **rules: int) -> None:
+        super().__init__(seed, weather)
+        self.names = [f"h{at}" for at in range(count)]
+        for at, name in enumerate(self.names):
+            self.add(name, lambda: Members(Rules(**rules)), [Asked(Begin(f"b{at}", name, tuple(self.names[:3])))])
+            self.start(name)
+
+    def views(self) -> set[tuple[Any, ...]]:
+        """What each that is up and takes part believes."""
+        return {tuple((each.name, each.life, each.state) for each in sorted(
+            host.machine.records.values(), key=lambda each: each.name)) for host in self.taking_part()}
+
+    def taking_part(self) -> list[Any]:
+        return [host for host in self.hosts.values() if host.up and not (host.machine.displaced or host.machine.left)]
+
+    def counts(self) -> set[int]:
+        return {len(host.machine.alive()) for host in self.taking_part()}
+
+    def reach(self) -> set[int]:
+        return {len(host.machine.reached()) for host in self.taking_part()}
+
+    def agree_s(self) -> float:
+        """Seconds until all that take part believe the same, and each other alive."""
+        began_us = self.now_us
+        while len(self.views()) > 1 or self.counts() != {len(self.taking_part())}:
+            if self.now_us - began_us > 60 * SECOND:
+                return float("inf")
+            self.run(SECOND // 10)
+        return (self.now_us - began_us) / SECOND
+
+    def deaths(self, *names: str) -> list[tuple[float, str]]:
+        """When who came to believe that a member was dead; without names of any."""
+        return [(at_us / SECOND, host) for at_us, host, news in self.told
+                if isinstance(news, Changed) and news.record.state is State.DEAD
+                and (not names or news.record.name in names)]
+
+    def news(self, kind: type) -> list[tuple[str, Any]]:
+        return [(host, news) for _, host, news in self.told if isinstance(news, kind)]
+
+
+def fleet(count: int = 5, seed: int = 1, **rules: int) -> Fleet:
+    made = Fleet(count, seed, **rules)
+    assert made.agree_s() < 5
+    made.told.clear()
+    return made
+
+
+class Failures(unittest.TestCase):
+    def test_a_dead_one_is_known_to_all_within_three_seconds(self) -> None:
+        for count in (2, 3, 7, 40):
+            for seed in range(3):
+                with self.subTest(count=count, seed=seed):
+                    made = fleet(count, seed)
+                    made.crash(made.names[-1])
+                    began_s = made.now_us / SECOND
+                    made.run(5 * SECOND)
+                    found = made.deaths(f"b{count - 1}")
+                    self.assertEqual({host for _, host in found}, set(made.names[:-1]))
+                    self.assertLess(max(found)[0] - began_s, 3.0)
+                    self.assertEqual(len(made.deaths()), len(found))
+
+    def test_most_of_a_fleet_dies_at_once(self) -> None:
+        made = fleet(20, 2)
+        for name in made.names[6:]:
+            made.crash(name)
+        made.run(12 * SECOND)
+        self.assertEqual(made.counts(), {6})
+        self.assertEqual(len(made.views()), 1)
+
+    def test_no_live_one_is_declared_dead_at_a_quarter_lost_with_short_stalls(self) -> None:
+        made = fleet(10, 3)
+        made.weather.loss = 0.25
+        for _ in range(60):
+            made.stall(made.random.choice(made.names), made.random.randrange(100_000, 990_000))
+            made.run(SECOND)
+        self.assertEqual(made.deaths(), [])
+        self.assertGreater(sum(host.machine.false_accusations for host in made.hosts.values()), 0)
+
+    def test_forty_percent_lost_everywhere_heals(self) -> None:
+        made = fleet(7, 4)
+        made.weather.loss, made.weather.doubled = 0.4, 0.1
+        made.run(60 * SECOND)
+        made.weather.loss = 0.0
+        self.assertLess(made.agree_s(), 5)
+
+    def test_a_link_that_is_cut_between_two_is_gone_round(self) -> None:
+        for both in (True, False):
+            made = fleet(5, 3)
+            made.cut(made.names[:1], made.names[1:2], both)
+            made.run(30 * SECOND)
+            self.assertEqual(made.deaths(), [], both)
+
+    def test_one_that_stalls_three_seconds_accuses_nobody_and_is_back(self) -> None:
+        made = fleet(5, 5)
+        made.stall("h2", 3 * SECOND)
+        made.run(4 * SECOND)
+        self.assertEqual({news.record.name for _, news in made.news(Changed) if news.record.state is State.DEAD}, {"b2"})
+        self.assertEqual({host for host, _ in made.news(Stalled)}, {"h2"})
+        self.assertLess(made.agree_s(), 5)
+
+    def test_one_whose_own_line_is_bad_buries_nobody(self) -> None:
+        made = fleet(7, 6)
+        made.cut(made.names[1:], ["h0"], both=False)  # it hears nobody, and all hear it
+        made.run(20 * SECOND)
+        self.assertEqual([host for _, host in made.deaths("b2", "b3", "b4", "b5", "b6", "b1") if host != "h0"], [])
+        made.heal()
+        self.assertLess(made.agree_s(), 5)
+
+    def test_cuts_heal_and_flap(self) -> None:
+        for count, apart in ((5, 2), (5, 1), (40, 13)):
+            made = fleet(count, 7)
+            made.cut(made.names[:apart], made.names[apart:])
+            made.run(10 * SECOND)
+            self.assertEqual(made.reach(), {apart, count - apart})
+            self.assertEqual({len(made.hosts[name].machine.alive()) for name in made.names[apart:]}, {count - apart})
+            made.heal()
+            self.assertLess(made.agree_s(), 5)
+            for _ in range(10):
+                made.cut(made.names[:apart], made.names[apart:])
+                made.run(SECOND)
+                made.heal()
+                made.run(SECOND)
+            self.assertLess(made.agree_s(), 5)
+
+
+class Returns(unittest.TestCase):
+    def test_one_returns_under_its_name_with_its_disk_or_without(self) -> None:
+        for wipe in (False, True):
+            for away_s in (0.3, 6):
+                with self.subTest(wipe=wipe, away_s=away_s):
+                    made = fleet(5, 8)
+                    made.crash("h4")
+                    made.run(int(away_s * SECOND))
+                    made.start("h4", wipe)
+                    self.assertLess(made.agree_s(), 5)
+                    self.assertEqual({host.machine.records["b4"].life for host in made.hosts.values()}, {2})
+                    self.assertEqual(made.news(Displaced), [])
+
+    def test_all_at_once_wiped(self) -> None:
+        made = fleet(7, 9)
+        for name in made.names:
+            made.crash(name)
+        for name in made.names:
+            made.start(name, wipe=True)
+        self.assertLess(made.agree_s(), 5)
+
+    def test_the_later_of_two_with_one_name_stands_and_the_other_stops(self) -> None:
+        made = fleet(5, 10)
+        made.add("x", Members, [Asked(Begin("b2", "x", ("h0",)))])
+        made.start("x")
+        made.run(2 * SECOND)
+        self.assertEqual({host for host, _ in made.news(Displaced)}, {"h2"})
+        self.assertEqual({host.machine.records["b2"].address for host in made.hosts.values()}, {"x"})
+        sent = made.sent
+        made.crash("h0"), made.crash("h1"), made.crash("h3"), made.crash("h4"), made.crash("x")
+        made.run(2 * SECOND)
+        self.assertEqual(made.sent, sent)  # the one that was displaced says nothing more
+
+    def test_seeds_that_are_dead_are_found_later(self) -> None:
+        made = Fleet(5, 11)
+        for name in made.names[:3]:
+            made.crash(name)
+        made.run(4 * SECOND)
+        for name in made.names[:3]:
+            made.start(name)
+        self.assertLess(made.agree_s(), 5)
+
+    def test_one_that_leaves_is_gone_and_no_death(self) -> None:
+        made = fleet(5, 12)
+        made.ask("h3", Asked(Leave()))
+        made.run(3 * SECOND)
+        self.assertEqual(made.deaths(), [])
+        self.assertEqual({host.machine.records["b3"].state for host in made.hosts.values()}, {State.LEFT})
+        made.crash("h3")
+        made.start("h3")
+        self.assertLess(made.agree_s(), 5)
+
+    def test_the_graveyard_is_bounded(self) -> None:
+        made = fleet(3, 13, graveyard=4)
+        for at in range(10):
+            made.add(f"t{at}", Members, [Asked(Begin(f"temp{at}", f"t{at}", ("h0",)))])
+            made.start(f"t{at}")
+            made.run(SECOND)
+            made.ask(f"t{at}", Asked(Leave()))
+            made.run(SECOND)
+            made.crash(f"t{at}")
+        self.assertLessEqual(max(len(made.hosts[name].machine.records) for name in made.names), 3 + 4)
+
+    def test_messages_do_not_grow_with_the_fleet(self) -> None:
+        rates = []
+        for count in (10, 40):
+            made = fleet(count, 14)
+            before = made.sent
+            made.run(5 * SECOND)
+            rates.append((made.sent - before) / 5 / count)
+        self.assertLess(rates[1], 1.2 * rates[0])
+
+
+class Steps(unittest.TestCase):
+    def test_what_promises_waits_for_the_write_before_it(self) -> None:
+        box = Outbox()
+        early, later, timer = Send("a", 1), Send("a", 2), SetTimer("t", 5)
+        self.assertEqual(box.put([early, Write("k", b"1"), later, timer, Tell("x")]), [early, Write("k", b"1"), timer])
+        self.assertEqual(box.put([Send("b", 3), Write("k", b"2"), Send("b", 4)]), [Write("k", b"2")])
+        self.assertEqual(box.lasts(1), [later, Tell("x"), Send("b", 3)])
+        self.assertEqual(box.lasts(2), [Send("b", 4)])
+        self.assertRaises(ValueError, box.lasts, 3)
+
+    def test_a_life_lasts_before_it_is_claimed(self) -> None:
+        made, box = Members(), Outbox()
+        box.put(made.step(0, Started({LIFE: b"6"}, 1)))
+        ready = box.put(made.step(0, Asked(Begin("b", "h", ("s",)))))
+        self.assertFalse([each for each in ready if isinstance(each, Send)])
+        self.assertIn(Write(LIFE, b"7"), ready)
+        self.assertEqual(box.lasts(1)[-1], Send("s", Sync([], answer=True), sure=True))  # it learns before it claims
+        made.step(1, Lasting(1))
+        ready = box.put(made.step(2, Heard("s", Sync([Record("b", 9, 5)]))))
+        self.assertEqual([each for each in ready if isinstance(each, (Send, Write))], [Write(LIFE, b"10")])
+        told = [each.message for each in box.lasts(2) if isinstance(each, Send)]
+        self.assertEqual([(each.name, each.life) for each in told[0].records], [("b", 10)])
+
+    def test_what_no_broker_would_send_is_refused_and_counted(self) -> None:
+        made = Members()
+        made.step(0, Started({}, 1))
+        made.step(0, Asked(Begin("b", "h")))
+        for message in (Sync([Record("", 1, 1)]), Sync([Record("x" * 65, 1, 1)]), Sync([Record("x", -1, 1)]), "nonsense",
+                        Ack(1, news=[Record("x\n", 1, 1)])):
+            made.step(1, Heard("p", message))
+        self.assertEqual((made.refused, [each.name for each in made.alive()]), ({"p": 5}, ["b"]))
+        self.assertRaises(MembershipFault, checked, Record("x", 1, 1, offers=("o",) * 17))
+
+    def test_rules_that_would_bury_the_living_are_refused(self) -> None:
+        for changes, wanted in (({"period_us": 0}, "period_us"), ({"silent_us": 300_000}, "silent_us"),
+                                ({"doubt_us": 1}, "doubt_us"), ({"quorum": 5}, "quorum")):
+            with self.assertRaisesRegex(MembershipFault, wanted):
+                Rules(**changes)
+
+
+RECORDS = st.builds(Record, st.just("b"), st.integers(1, 3), st.integers(1, 3), st.integers(0, 3), st.sampled_from(State))
+
+
+class Merging(unittest.TestCase):
+    @given(st.lists(RECORDS, min_size=1, max_size=6), st.randoms())
+    def test_records_merge_without_order(self, records: list[Record], draw: Any) -> None:
+        def merged(each: list[Record]) -> Record:
+            stands = each[0]
+            for record in each:
+                stands = record if record.beats(stands) else stands
+            return stands
+
+        mixed = records + records[:2]
+        draw.shuffle(mixed)
+        self.assertEqual(merged(records), merged(mixed))
+
+    @given(RECORDS, RECORDS)
+    def test_one_that_left_stays_gone(self, gone: Record, other: Record) -> None:
+        if gone.state is State.LEFT and other.state is not State.LEFT and other.beats(gone):
+            self.assertGreater((other.life, other.run), (gone.life, gone.run))
+
+
+class AnyOrder(RuleBasedStateMachine):
+    """Whatever happens in whatever order: what is believed of a name never goes back, and once links are whole and all
+    are up again, all find each other."""
+
+    @initialize(seed=st.integers(0, 1 << 20), count=st.integers(2, 5))
+    def begin(self, seed: int, count: int) -> None:
+        self.made = Fleet(count, seed, Weather(doubled=0.1))
+        self.ranks: dict[tuple[str, int, str], Any] = {}
+
+    def name(self, at: int) -> str:
+        return self.made.names[at % len(self.made.names)]
+
+    @rule(at=st.integers(0, 4), lasts=st.booleans())
+    def crash(self, at: int, lasts: bool) -> None:
+        if self.made.hosts[self.name(at)].up:
+            self.made.crash(self.name(at))
+
+    @rule(at=st.integers(0, 4), wipe=st.booleans())
+    def start(self, at: int, wipe: bool) -> None:
+        if not self.made.hosts[self.name(at)].up:
+            self.made.start(self.name(at), wipe)
+
+    @rule(at=st.integers(0, 4), ms=st.integers(1, 4_000))
+    def stall(self, at: int, ms: int) -> None:
+        self.made.stall(self.name(at), ms * 1_000)
+
+    @rule(at=st.integers(0, 4))
+    def leave(self, at: int) -> None:
+        if self.made.hosts[self.name(at)].up:
+            self.made.ask(self.name(at), Asked(Leave()))
+
+    @rule(sides=st.integers(0, 31), both=st.booleans())
+    def cut(self, sides: int, both: bool) -> None:
+        names = self.made.names
+        self.made.cut([each for at, each in enumerate(names) if sides >> at & 1],
+                      [each for at, each in enumerate(names) if not sides >> at & 1], both)
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
+    def heal(self, loss: float) -> None:
+        self.made.heal()
+        self.made.weather.loss = loss
+
+    @rule(ms=st.integers(1, 4_000))
+    def time(self, ms: int) -> None:
+        self.made.run(ms * 1_000, self.check)
+
+    @precondition(lambda self: hasattr(self, "made"))
+    @invariant()
+    def check(self) -> None:
+        for host in self.made.hosts.values():
+            for name, record in host.machine.records.items() if host.up else ():
+                key = (host.name, host.process, name)
+                assert self.ranks.get(key, record.rank) <= record.rank, (key, record)
+                self.ranks[key] = record.rank
+
+    def teardown(self) -> None:
+        if not hasattr(self, "made"):
+            return
+        made = self.made
+        made.heal()
+        made.weather.loss = 0.0
+        for host in made.hosts.values():
+            host.stalled_until_us = 0
+            if host.up and (host.machine.left or host.machine.displaced):
+                made.crash(host.name)
+            if not host.up:
+                made.start(host.name)
+        took_s = made.agree_s()
+        assert took_s < 8, took_s
+        assert not made.news(Displaced), "there never were two of one name"
+
+
+AnyOrder.TestCase.settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
+TestAnyOrder = AnyOrder.TestCase
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -124,10 +124,11 @@
         self.assertEqual(made.asked, {})
 
 
-LAYERS = ["core", "cells", "entitlement", "routing", "protocol", "transport", "program"]
-PURE = {"core": set(), "cells": {"netaddr", "xxhash"}, "entitlement": {"cryptography", "jwt"}, "routing": set()}  # with the libraries that each may use
+LAYERS = ["core", "cells", "entitlement", "membership", "routing", "protocol", "transport", "program"]
+PURE = {"core": set(), "cells": {"netaddr", "xxhash"}, "entitlement": {"cryptography", "jwt"},
+        "membership": {"msgspec", "xxhash"}, "routing": set()}  # with the libraries that each may use
 CLOCKS = {"time", "socket", "threading", "subprocess", "os", "asyncio"}  # no decision does I/O or reads a clock
-CORE = {"control", "interface", "news", "settings"}
+CORE = {"control", "interface", "news", "settings", "steps"}
 ABOVE = {"adapter", "plugin", "lab", "__init__", "__main__"}  # drivers of their own: not part of a layer
 
 
