--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -6,8 +6,9 @@
 Each run starts two brokers at once by the line ``run`` of the tree's deploy/balancer.toml, so that what one program
 shares between its processes counts as shared, in a tree whose line ``build`` has been carried out. ``start_s`` is the
 time from the start of the process until it passes a test, ``empty_mib`` its private memory then (Private_Clean +
-Private_Dirty of /proc/PID/smaps_rollup), ``served_mib`` after it served viewers at 30 requests a second. Where the
-kernel does not tell private memory, the run fails.
+Private_Dirty of /proc/PID/smaps_rollup), ``served_mib`` after it served viewers at 30 requests a second and
+``slope_mib_h`` by how much it grew an hour over the last two thirds of that (least squares; it takes ``--seconds`` of
+several minutes to mean something). Where the kernel does not tell private memory, the run fails.
 """
 
 from __future__ import annotations
@@ -28,6 +29,8 @@
 import tomllib
 from pathlib import Path
 
+import numpy as np
+
 HERE = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(HERE))
 
@@ -37,7 +40,8 @@
 
 BROKERS, NODES, RATE, STARTED_S = 2, 60, 30.0, 30.0
 ASK = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nSession: 0000000000000001\r\nContent-Length: 0\r\n\r\n"
-FIGURES = ("start_s", "empty_mib", "served_mib")
+FIGURES = ("start_s", "empty_mib", "served_mib", "slope_mib_h")
+SAMPLE_S = 2.0
 
 
 def private_mib(pid: int) -> float:
@@ -98,7 +102,7 @@
             found["empty_mib"] = [private_mib(each.pid) for each in started]
             kinds = [Kind("clip", 0.7, 3.0, 8.0), Kind("exam", 0.3, 3.0, 8.0)]
             load = Load([Phase("p", seconds, RATE)], kinds, ceilings={2: 1.0})
-            asyncio.run(play(ports, load, seed))
+            found["slope_mib_h"] = asyncio.run(play(ports, load, seed, [each.pid for each in started]))
             found["served_mib"] = [private_mib(each.pid) for each in started]
         finally:
             for each in (*started, nodes):
@@ -111,12 +115,23 @@
     return found
 
 
-async def play(ports: list[int], load: Load, seed: int) -> None:
-    """The same load on each broker."""
+async def play(ports: list[int], load: Load, seed: int, pids: list[int]) -> list[float]:
+    """The same load on each broker; returns the slope of each one's memory, MiB an hour."""
     senders = [Sender(list(drawn(load, seed + at)), Target(port, NODES)) for at, port in enumerate(ports)]
+    samples: list[list[float]] = []
+
+    async def sample() -> None:
+        while True:
+            samples.append([time.monotonic(), *map(private_mib, pids)])
+            await asyncio.sleep(SAMPLE_S)
+
+    sampler = asyncio.create_task(sample())
     for found in await asyncio.gather(*(each.run() for each in senders)):
         if not found:
             raise RuntimeError("nothing was sent")
+    sampler.cancel()
+    at_s, *columns = np.array(samples[len(samples) // 3:]).T
+    return [float(np.polyfit(at_s - at_s[0], column, 1)[0]) * 3_600 for column in columns]
 
 
 def main() -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from lotuspick.lab.net.world import Weather, World
+from lotuspick.lab.net.fleet import Fleet
+from lotuspick.lab.net.world import Weather
 from lotuspick.membership.members import LIFE, Begin, Leave, Members
 from lotuspick.membership.model import (
     Ack,
@@ -29,49 +30,6 @@
 SETTLED_US = 5 * SECOND  # after the last fault all views agree within this
 
 
-class Fleet(World):
-    """Brokers b0, b1, ... at h0, h1, ...; the first three are seeds."""
-
-    def __init__(self, count: int, seed: int, weather: Weather | None = None, **rules: int) -> None:
-        super().__init__(seed, weather)
-        self.names = [f"h{at}" for at in range(count)]
-        for at, name in enumerate(self.names):
-            self.add(name, lambda: Members(Rules(**rules)), [Asked(Begin(f"b{at}", name, tuple(self.names[:3])))])
-            self.start(name)
-
-    def views(self) -> set[tuple[Any, ...]]:
-        """What each that is up and takes part believes."""
-        return {tuple((each.name, each.life, each.state) for each in sorted(
-            host.machine.records.values(), key=lambda each: each.name)) for host in self.taking_part()}
-
-    def taking_part(self) -> list[Any]:
-        return [host for host in self.hosts.values() if host.up and not (host.machine.displaced or host.machine.left)]
-
-    def counts(self) -> set[int]:
-        return {len(host.machine.alive()) for host in self.taking_part()}
-
-    def reach(self) -> set[int]:
-        return {len(host.machine.reached()) for host in self.taking_part()}
-
-    def agree_s(self) -> float:
-        """Seconds until all that take part believe the same, and each other alive."""
-        began_us = self.now_us
-        while len(self.views()) > 1 or self.counts() != {len(self.taking_part())}:
-            if self.now_us - began_us > 60 * SECOND:
-                return float("inf")
-            self.run(SECOND // 10)
-        return (self.now_us - began_us) / SECOND
-
-    def deaths(self, *names: str) -> list[tuple[float, str]]:
-        """When who came to believe that a member was dead; without names of any."""
-        return [(at_us / SECOND, host) for at_us, host, news in self.told
-                if isinstance(news, Changed) and news.record.state is State.DEAD
-                and (not names or news.record.name in names)]
-
-    def news(self, kind: type) -> list[tuple[str, Any]]:
-        return [(host, news) for _, host, news in self.told if isinstance(news, kind)]
-
-
 def fleet(count: int = 5, seed: int = 1, **rules: int) -> Fleet:
     made = Fleet(count, seed, **rules)
     assert made.agree_s() < 5
