Say what a broker may do while brokers disagree, in one table that settings can only narrow

On the simulated network, cuts of 5, 4 and 7 whole and one way: at most one side makes paid promises 2 s after the cut, all are whole again within 8 s of its end, ten flaps of a second change one broker's standing 10 times at most.

--- a/lotuspick/lab/net/fleet.py
+++ b/lotuspick/lab/net/fleet.py
@@ -66,7 +66,8 @@
     lost, with stalls under a second: how many live ones were declared dead), or ``faults`` (all faults at once for
     ``seconds``: how long after the last one all agree). ``brokers`` is a number or the name of one in the world."""
     told = {**told, **arm}
-    made = Meter(int(told.get(told["brokers"], told["brokers"])), seed, rates=(1.0, 1.0, 0.95, 1.05) if told["kind"] == "faults" else (1.0,))
+    rates = (1.0, 1.0, 0.95, 1.05) if told["kind"] == "faults" else (1.0,)
+    made = Meter(int(told.get(told["brokers"], told["brokers"])), seed, rates=rates)
     joined_s = made.agree_s()
     made.run(SECOND)
     made.sent = made.bytes = 0
--- a/lotuspick/membership/members.py
+++ b/lotuspick/membership/members.py
@@ -98,6 +98,7 @@
         self._heard: dict[str, int] = {}  # signs of life of those
         self._doubts: dict[str, Doubt] = {}
         self._accused: set[str] = set()  # by this broker
+        self._deaf: dict[str, int] = {}  # who lately said to hear nothing of this broker, and when
         self._gossip: dict[tuple[str, str], Rumour] = {}
         self._relayed: dict[int, tuple[str, int]] = {}  # pings for others: who asked, under which number
         self._number = 0
@@ -140,9 +141,9 @@
         return sorted((each for each in self.records.values() if each.state is State.ALIVE), key=lambda each: each.name)
 
     def reached(self) -> list[Record]:
-        """Those who give signs of life as far as this broker knows: it is one of them, and who is accused is not. A
-        broker that is cut off declares nobody dead where it is the only one to say so, but it reaches nobody."""
-        return [each for each in self.alive() if each.name not in self._doubts]
+        """Those with whom this broker hears and is heard, as far as it knows: itself, and not who is accused, nor who
+        accuses it. One that is cut off declares nobody dead where it is alone to say so, but it reaches nobody."""
+        return [each for each in self.alive() if each.name not in self._doubts and each.name not in self._deaf]
 
     def accused(self) -> dict[str, tuple[str, ...]]:
         """Who is accused at present, and by whom."""
@@ -321,6 +322,7 @@
             return
         if said.name == self._own_name:
             assert self.own is not None
+            self._deaf[said.by] = self._now
             self.own = msgspec.structs.replace(self.own, turn=self.own.turn + 1)
             self._take(self.own, self._own_name, f"refutes {said.by}")
             return
@@ -337,6 +339,7 @@
         """Who has been accused for long enough by enough of its watchers is dead; an accusation that is not renewed is
         dropped."""
         rules = self.rules
+        self._deaf = {by: at_us for by, at_us in self._deaf.items() if self._now - at_us <= 2 * rules.silent_us}
         for name, doubt in list(self._doubts.items()):
             for by in [by for by, at_us in doubt.by.items() if self._now - at_us > 2 * rules.silent_us]:
                 del doubt.by[by]
--- /dev/null
+++ b/lotuspick/membership/standing.py
@@ -0,0 +1,119 @@
+"""What a broker may do while brokers disagree: how it stands to the others, and one table of what that allows. Pure.
+
+A standing rests on whom the broker reaches, never on a belief that others are dead: those count as missing, since they
+may be on the other side of a cut. What several may not do at once needs more than half of all, so at most one side of
+any cut has it, once both have noticed: until then, and for as long, both may. What must not overlap at all needs
+leases.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from lotuspick.membership.members import Members
+from lotuspick.membership.model import MembershipFault, State
+
+PLAIN, PAID, LEAD = "plain", "paid", "lead"
+WHAT = frozenset({PLAIN, PAID, LEAD})
+
+
+class Standing(IntEnum):
+    """How a broker stands to the others, the least first."""
+
+    DISPLACED = 0
+    """Another process has its name."""
+    UNSURE = 1
+    """Just started, or just back from a stall: what it believes may be out of date."""
+    ALONE = 2
+    MINORITY = 3
+    """It reaches half of all at most."""
+    MAJORITY = 4
+    WHOLE = 5
+
+
+TABLE: Mapping[Standing, frozenset[str]] = {
+    Standing.WHOLE: WHAT,
+    Standing.MAJORITY: WHAT,
+    Standing.MINORITY: frozenset({PLAIN}),
+    Standing.ALONE: frozenset({PLAIN}),
+    Standing.UNSURE: frozenset({PLAIN}),
+    Standing.DISPLACED: frozenset({PLAIN}),
+}
+"""What each allows at most. ``plain``: sessions that are not paid for, which need no peer, ever. ``paid``: new
+promises that must hold over the whole fleet. ``lead``: to ask for or keep what one broker holds for all, leases and
+duties. Shares of the fleet's limits, the pace towards cold nodes among them, are no matter of standing: they are
+divided by the number that the settings tell, whoever is believed to be dead."""
+
+
+@dataclass(frozen=True, slots=True)
+class StandingRules:
+    """Settings of standings. ``allowed`` may take away from the table, and never add to it."""
+
+    brokers: int
+    """How many belong to the fleet, whether they are up or not."""
+    settle_us: int = 2_000_000
+    """A better standing than before has to last so long; a worse one counts at once."""
+    allowed: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        if isinstance(self.brokers, bool) or not isinstance(self.brokers, int) or self.brokers < 1:
+            raise MembershipFault(f"brokers must be a whole number of 1 or more, not {self.brokers!r}")
+        if not isinstance(self.settle_us, int) or self.settle_us < 0:
+            raise MembershipFault(f"settle_us must be 0 or more, not {self.settle_us!r}")
+        for name, what in self.allowed.items():
+            if name.upper() not in Standing.__members__:
+                raise MembershipFault(f"allowed.{name}: a standing is one of "
+                                      + ", ".join(each.name.lower() for each in Standing))
+            if PLAIN not in what:
+                raise MembershipFault(f"allowed.{name}: plain sessions never wait for other brokers")
+            if more := set(what) - TABLE[Standing[name.upper()]]:
+                raise MembershipFault(f"allowed.{name}: {', '.join(sorted(more))} would let two brokers act at once")
+
+
+class Standings:
+    """Follows one broker's standing."""
+
+    def __init__(self, rules: StandingRules) -> None:
+        self.rules = rules
+        self.now = Standing.UNSURE
+        self._unsure_until_us: int | None = None
+        self._better_since_us: int | None = None
+
+    def stalled(self, now: int) -> None:
+        """The process was away: it is unsure at once."""
+        self.now, self._better_since_us = Standing.UNSURE, None
+        self._unsure_until_us = now + self.rules.settle_us
+
+    def see(self, now: int, members: Members) -> Standing:
+        """Take what the members believe at a time (us); returns the standing that counts from now on."""
+        if self._unsure_until_us is None:
+            self._unsure_until_us = now + self.rules.settle_us
+        seen = self._seen(now, members)
+        if seen <= self.now:
+            self.now, self._better_since_us = seen, None
+            return self.now
+        if self._better_since_us is None:
+            self._better_since_us = now
+        if now - self._better_since_us >= self.rules.settle_us:
+            self.now, self._better_since_us = seen, None
+        return self.now
+
+    def _seen(self, now: int, members: Members) -> Standing:
+        if members.displaced or members.left:
+            return Standing.DISPLACED
+        if now < (self._unsure_until_us or 0):
+            return Standing.UNSURE
+        known = sum(each.state is not State.LEFT for each in members.records.values())
+        total, reached = max(self.rules.brokers, known), len(members.reached())
+        if reached >= total:
+            return Standing.WHOLE
+        if 2 * reached > total:
+            return Standing.MAJORITY
+        return Standing.ALONE if reached <= 1 else Standing.MINORITY
+
+    def may(self, what: str) -> bool:
+        """Whether it may do what the table names."""
+        allowed = TABLE[self.now] & set(self.rules.allowed.get(self.now.name.lower(), WHAT))
+        return what in allowed
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -24,6 +24,7 @@
     Sync,
     checked,
 )
+from lotuspick.membership.standing import Standing, StandingRules, Standings
 from lotuspick.steps import Asked, Heard, Lasting, Outbox, Send, SetTimer, Started, Tell, Write
 
 SECOND = 1_000_000
@@ -188,6 +189,92 @@
         self.assertLess(rates[1], 1.2 * rates[0])
 
 
+class Disagreement(unittest.TestCase):
+    """What each may do while they disagree, followed ten times a second."""
+
+    def follow(self, made: Fleet, us: int) -> dict[str, list[Standing]]:
+        seen: dict[str, list[Standing]] = {name: [] for name in made.names}
+        for _ in range(us // 100_000):
+            made.run(100_000)
+            for host in made.taking_part():
+                while self.told < len(made.told):
+                    _, where, news = made.told[self.told]
+                    self.told += 1
+                    if isinstance(news, Stalled):
+                        self.standings[where].stalled(made.now_us)
+                seen[host.name].append(self.standings[host.name].see(made.now_us, host.machine))
+        return seen
+
+    def begin(self, count: int, seed: int) -> Fleet:
+        made = fleet(count, seed)
+        self.told = 0
+        self.standings = {name: Standings(StandingRules(count)) for name in made.names}
+        first = self.follow(made, 5 * SECOND)
+        self.assertEqual({seen[0] for seen in first.values()}, {Standing.UNSURE})
+        self.assertEqual({seen[-1] for seen in first.values()}, {Standing.WHOLE})
+        return made
+
+    def paid(self, made: Fleet) -> set[str]:
+        return {host.name for host in made.taking_part() if self.standings[host.name].may("paid")}
+
+    def test_one_side_of_a_cut_at_most_makes_paid_promises(self) -> None:
+        for count, apart, both in ((5, 2, True), (5, 1, True), (4, 2, True), (5, 2, False), (7, 3, True)):
+            with self.subTest(count=count, apart=apart, both=both):
+                made = self.begin(count, 20)
+                few, many = set(made.names[:apart]), set(made.names[apart:])
+                made.cut(sorted(few), sorted(many), both)  # one way: what the few say is lost
+                self.follow(made, 2 * SECOND)
+                for _ in range(10):
+                    self.follow(made, SECOND)
+                    paid = self.paid(made)
+                    self.assertFalse(paid & few, "they may not, whatever they hear")
+                    self.assertFalse(paid and 2 * len(many) <= count)
+                if both and 2 * len(many) > count:
+                    self.assertEqual(paid, many)
+                self.assertTrue(all(each.may("plain") for each in self.standings.values()))
+                made.heal()
+                seen = self.follow(made, 8 * SECOND)
+                self.assertEqual({each[-1] for each in seen.values()}, {Standing.WHOLE})
+
+    def test_a_stall_makes_unsure_and_flapping_does_not_flap(self) -> None:
+        made = self.begin(5, 21)
+        made.stall("h1", 3 * SECOND)
+        made.run(3 * SECOND)
+        seen = self.follow(made, SECOND)
+        self.assertEqual(seen["h1"][0], Standing.UNSURE)
+        self.follow(made, 8 * SECOND)
+        changes = 0
+        for _ in range(10):
+            made.cut(made.names[:1], made.names[1:])
+            first = self.follow(made, SECOND)
+            made.heal()
+            second = self.follow(made, SECOND)
+            both = first["h0"] + second["h0"]
+            changes += sum(one != two for one, two in zip(both, both[1:]))
+        self.assertLessEqual(changes, 10)
+        self.assertFalse(self.standings["h0"].may("lead"))
+
+    def test_most_are_dead_and_the_rest_promise_nothing(self) -> None:
+        made = self.begin(5, 22)
+        for name in made.names[:3]:
+            made.crash(name)
+        self.follow(made, 10 * SECOND)
+        self.assertEqual(self.paid(made), set())
+        self.assertEqual({self.standings[name].now for name in made.names[3:]}, {Standing.MINORITY})
+
+    def test_settings_take_away_and_never_add(self) -> None:
+        for allowed, wanted in (({"minority": ("plain", "paid")}, "two brokers act"), ({"whole": ("paid",)}, "plain"),
+                                ({"alone": ("plain", "lead")}, "lead"), ({"there": ("plain",)}, "a standing is")):
+            with self.assertRaisesRegex(MembershipFault, wanted):
+                StandingRules(5, allowed=allowed)
+        self.assertRaisesRegex(MembershipFault, "brokers", StandingRules, 0)
+        made = Standings(StandingRules(1, 0, {"whole": ("plain", "paid")}))
+        alone = Members()
+        alone.step(0, Started({}, 1)), alone.step(0, Asked(Begin("b", "h")))
+        self.assertEqual(made.see(0, alone), Standing.WHOLE)
+        self.assertEqual([made.may(what) for what in ("plain", "paid", "lead")], [True, True, False])
+
+
 class Steps(unittest.TestCase):
     def test_what_promises_waits_for_the_write_before_it(self) -> None:
         box = Outbox()
