--- a/lotuspick/membership/members.py
+++ b/lotuspick/membership/members.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 import msgspec
 from xxhash import xxh3_64_intdigest
@@ -68,14 +69,6 @@
     by: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Rumour:
-    """A piece of news, and how often it is to be told still."""
-
-    news: News
-    times: int
-
-
 class Members:
     """One broker's view. Peers are named by the addresses of their links."""
 
@@ -99,7 +92,10 @@
         self._doubts: dict[str, Doubt] = {}
         self._accused: set[str] = set()  # by this broker
         self._deaf: dict[str, int] = {}  # who lately said to hear nothing of this broker, and when
-        self._gossip: dict[tuple[str, str], Rumour] = {}
+        # What is to be told to others, by how often it was told, and how often each was.
+        levels = 1 + self.rules.spread * MOST_RECORDS.bit_length()
+        self._gossip: list[dict[tuple[str, str], News]] = [{} for _ in range(levels)]
+        self._told: dict[tuple[str, str], int] = {}
         self._relayed: dict[int, tuple[str, int]] = {}  # pings for others: who asked, under which number
         self._number = 0
         self._period_us = self._synced_us = 0
@@ -196,6 +192,7 @@
             return
         if before is not None and not record.beats(before):
             return
+        checked(record)
         if own is not None and record.name == own.name and record != own:
             self._of_self(record)
             return
@@ -391,7 +388,7 @@
                 if len(message.records) > MOST_RECORDS:
                     raise MembershipFault(f"{len(message.records)} records, over {MOST_RECORDS}")
                 for record in message.records:
-                    self._take(checked(record), peer, "told all")
+                    self._take(record, peer, "told all")
                 if not self.displaced:
                     if message.answer or not self.joined:
                         self._send(peer, self._everything(answer=False), sure=True)
@@ -405,7 +402,7 @@
     def _hear(self, news: Sequence[News], peer: str) -> None:
         for each in news:
             if isinstance(each, Record):
-                self._take(checked(each), peer, "told")
+                self._take(each, peer, "told")
             else:
                 self._doubted(each)
             if self.displaced:
@@ -433,16 +430,28 @@
         return xxh3_64_intdigest(repr([(each.name, each.life, each.run, each.turn) for each in self.alive()]).encode())
 
     def _tell_others(self, news: News) -> None:
-        times = self.rules.spread * max(1, len(self.records).bit_length())
         key = (news.name, news.by if isinstance(news, Accusation) else "")
-        self._gossip.pop(key, None)
-        self._gossip[key] = Rumour(news, times)
+        if key in self._told:
+            del self._gossip[self._told[key]][key]
+        self._told[key] = 0
+        self._gossip[0][key] = news
 
     def _news(self, to: str = "") -> list[News]:
         """The news for one message: first what concerns the one it goes to, then what was told least often."""
-        told = sorted(self._gossip.items(), key=lambda each: (each[0][0] != to, -each[1].times))[:self.rules.piggyback]
-        for key, rumour in told:
-            rumour.times -= 1
-            if not rumour.times:
-                del self._gossip[key]
-        return [rumour.news for _, rumour in told]
+        doubt, most = self._doubts.get(to), self.rules.piggyback
+        keys = [key for key in [(to, ""), *((to, by) for by in (doubt.by if doubt else ()))] if key in self._told][:most]
+        for level in self._gossip:
+            keys += islice((key for key in level if key[0] != to), most - len(keys))
+            if len(keys) >= most:
+                break
+        enough = min(len(self._gossip) - 1, self.rules.spread * max(1, len(self.records).bit_length()))
+        return [self._once_more(key, enough) for key in keys]
+
+    def _once_more(self, key: tuple[str, str], enough: int) -> News:
+        """A piece of news is told; after so many times it is told enough."""
+        times = self._told.pop(key)
+        news = self._gossip[times].pop(key)
+        if times + 1 < enough:
+            self._told[key] = times + 1
+            self._gossip[times + 1][key] = news
+        return news
