--- a/lotuspick/membership/members.py
+++ b/lotuspick/membership/members.py
@@ -439,7 +439,8 @@
     def _news(self, to: str = "") -> list[News]:
         """The news for one message: first what concerns the one it goes to, then what was told least often."""
         doubt, most = self._doubts.get(to), self.rules.piggyback
-        keys = [key for key in [(to, ""), *((to, by) for by in (doubt.by if doubt else ()))] if key in self._told][:most]
+        own = [(to, ""), *((to, by) for by in (doubt.by if doubt else ()))]
+        keys = [key for key in own if key in self._told][:most]
         for level in self._gossip:
             keys += islice((key for key in level if key[0] != to), most - len(keys))
             if len(keys) >= most:
