Put the daemon together from a list of parts that it knows none of by name

Need: the daemon grew an if with each part (cells, seats, hints, tenants), and program/config.py and program/entitled.py imported each other. Membership and what stands on it would have added more of both.

Change: program/parts.py holds the parts and what switches each on; a part gives its guide, its way to edge servers, its lines, reload and close, and the daemon goes over the list. SeatsConfig lies with the other configuration, which ends the cycle. Nothing that is off is imported, as before.

--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from lotuspick.cells.model import Plan
-    from lotuspick.program.entitled import SeatsConfig
+    from lotuspick.entitlement.guide import Rules
 
 DEFAULT_HINTS = Path("deploy/hints.toml")
 DEFAULT_TENANTS = Path("deploy/tenants.toml")
@@ -64,6 +64,21 @@
     refresh_s: float = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class SeatsConfig:
+    """Entitlement tokens: the file of seats."""
+
+    audience: str
+    keys: Path
+    store: Path
+    store_mib: int
+    rules: Rules
+    skew_s: int
+    grace_s: int
+    revoked: Path | None = None
+    proofs: Path | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -228,7 +243,6 @@
         if not _get(told, "enabled", bool, False):
             return None
         from lotuspick.entitlement.guide import Rules  # what it needs is loaded only where it is on
-        from lotuspick.program.entitled import SeatsConfig
 
         paid = {each.name for each in settings.classes if each.effect == "paid"}
         classes = _get(told, "classes", list, sorted(paid))
--- a/lotuspick/program/entitled.py
+++ b/lotuspick/program/entitled.py
@@ -6,14 +6,13 @@
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
-from lotuspick.entitlement.guide import Rules, SeatsGuide
+from lotuspick.entitlement.guide import SeatsGuide
 from lotuspick.entitlement.ledger import Ledger, Record
 from lotuspick.entitlement.tokens import Checker
 from lotuspick.news import News
-from lotuspick.program.config import ConfigError
+from lotuspick.program.config import ConfigError, SeatsConfig
 from lotuspick.routing.endings import Ending
 from lotuspick.routing.ports import Dismissed, Inbound, Settled
 from lotuspick.transport.base import wall_s
@@ -26,21 +25,6 @@
 MOST_REVOKED = 100_000
 
 
-@dataclass(frozen=True, slots=True)
-class SeatsConfig:
-    """The file of seats, as read."""
-
-    audience: str
-    keys: Path
-    store: Path
-    store_mib: int
-    rules: Rules
-    skew_s: int
-    grace_s: int
-    revoked: Path | None = None
-    proofs: Path | None = None
-
-
 class EntitlementFault(ConfigError):
     """Seats that cannot be served; the text names the file."""
 
--- /dev/null
+++ b/lotuspick/program/parts.py
@@ -0,0 +1,199 @@
+"""What a broker is put together from, beside the ordinary path: each part is on or off by the configuration.
+
+A part says what it takes of its broker (``Broker``) and gives what it has: a guide, a way to edge servers, lines to
+log, renewals. The daemon goes over the list of those that are on and knows none by name. Whatever a part needs is
+imported where the part is made, so that what is off costs neither start nor memory.
+"""
+
+from __future__ import annotations
+
+import importlib
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any, Protocol
+
+from lotuspick.interface import Guide, TenantRates
+from lotuspick.news import News
+from lotuspick.program.config import Config
+from lotuspick.protocol.rtsp import Terms
+from lotuspick.routing.ports import Directory, Edges, Inbound, Tenants
+from lotuspick.transport.base import Reactor, now_us
+
+if TYPE_CHECKING:
+    from lotuspick.cells.model import Plan
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 256
+SECOND = 1_000_000
+Renew = Callable[[str, str, Callable[[str], None]], None]
+"""Renews a session's token: session, token, and what is called with why not."""
+
+
+class Broker(Protocol):
+    """What a part may use of the broker that it belongs to."""
+
+    config: Config
+    reactor: Reactor
+    terms: Terms
+    renew: Renew | None
+
+    def post(self, item: Inbound) -> None:
+        """Put an item into the loop's inbox."""
+
+    def standing(self, edge: str) -> int:
+        """How many sessions stand at an edge server."""
+
+    def ready(self) -> bool:
+        """Whether viewers are served."""
+
+
+class Part:
+    """One part; what it does not need it leaves as it stands here."""
+
+    guide: Guide | None = None
+    renew: Renew | None = None
+    nodes: frozenset[str] = frozenset()
+    """Servers that are reached by this part, and not by the platform's protocol."""
+
+    def __init__(self, broker: Broker) -> None:
+        self.broker = broker
+
+    def edges(self, edges: Edges) -> Edges:
+        """The way to edge servers, with this part's own put in front."""
+        return edges
+
+    def start(self) -> None:
+        """The broker listens: begin."""
+
+    def tick(self, now: int, summary: bool) -> list[News]:
+        """Once a second: what is due by time; returns lines to log, with a summary where one is asked for."""
+        return []
+
+    def reload(self, new: Config, taken: Config) -> Config:
+        """Take over what it can of a configuration that was read again; returns ``taken`` with that in it."""
+        return taken
+
+    def stopping(self) -> None:
+        """A planned end begins."""
+
+    def close(self) -> None:
+        """The reactor has ended: nothing is served any more."""
+
+
+class CellsPart(Part):
+    """Tenants and lessons confined to parts of the fleet."""
+
+    def __init__(self, broker: Broker) -> None:
+        super().__init__(broker)
+        from lotuspick.cells.guide import CellsGuide
+
+        assert broker.config.cells is not None
+        self.guide: CellsGuide = CellsGuide(broker.config.cells, broker.config.settings.positions)
+
+    def tick(self, now: int, summary: bool) -> list[News]:
+        return [*self.guide.news(), *([self.guide.summary()] if summary else [])]
+
+    def reload(self, new: Config, taken: Config) -> Config:
+        return replace(taken, cells=new.cells) if self._take(new.cells) else taken
+
+    def _take(self, plan: Plan | None) -> bool:
+        """Follow another plan of cells. Guards against a plan that comes late and would undo a newer one."""
+        if plan is None:
+            return False  # to begin or end with cells takes a restart
+        try:
+            self.guide.take(plan, now_us())
+        except ValueError as error:
+            log.error("plan of cells not taken, the old one stands", extra={"fault": str(error)})
+            return False
+        return True
+
+
+class SeatsPart(Part):
+    """Paid sessions that take seats."""
+
+    def __init__(self, broker: Broker) -> None:
+        super().__init__(broker)
+        from lotuspick.program.entitled import Entitlement
+
+        assert broker.config.seats is not None
+        self.seats = Entitlement(broker.config.seats, broker.reactor.callFromThread, broker.post)
+        self.guide = self.seats.guide
+        self.renew: Renew | None = lambda session, token, done: self.seats.renew(now_us(), session, token, done)
+
+    def tick(self, now: int, summary: bool) -> list[News]:
+        return self.seats.tick(now, summary)
+
+    def reload(self, new: Config, taken: Config) -> Config:
+        self.seats.reload(now_us())
+        return taken
+
+    def close(self) -> None:
+        self.seats.close()
+
+
+class HintsPart(Part):
+    """The second front, and media nodes that speak its protocol."""
+
+    def __init__(self, broker: Broker) -> None:
+        super().__init__(broker)
+        self.nodes = frozenset(broker.config.hints.nodes)
+
+    def edges(self, edges: Edges) -> Edges:
+        if not self.nodes:
+            return edges
+        from lotuspick.transport.nodes import NodePool, Switch
+
+        told = self.broker.config
+        pool = NodePool(self.broker.reactor, dict(told.hints.nodes), told.dial_us / SECOND, self.broker.post,
+                        self.broker.standing)
+        return Switch(pool, edges)
+
+    def start(self) -> None:
+        from lotuspick.transport.hints import HintsFront
+
+        broker, told = self.broker, self.broker.config
+        hints = HintsFront(broker.reactor, broker.post, broker.ready, broker.terms, broker.renew)
+        front = broker.reactor.listenTCP(told.hints.port, hints.site(told.sockets // 6), backlog=BACKLOG,
+                                         interface=told.hints.host)
+        log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(front.getHost())})
+
+
+class TenantsPart(Part):
+    """The directory of tenants, read again and again on a thread; while it is away the last reading stands."""
+
+    def __init__(self, broker: Broker) -> None:
+        super().__init__(broker)
+        from lotuspick.transport.directory import LdapDirectory
+
+        assert broker.config.tenants.ldap is not None
+        self.directory: Directory = LdapDirectory(broker.config.tenants.ldap)
+
+    def start(self) -> None:
+        from twisted.internet.threads import deferToThread
+
+        done = deferToThread(self.directory.rates)
+        done.addCallback(lambda rates: self.broker.post(Tenants(TenantRates(rates))))
+        done.addErrback(lambda reason: log.warning("no tenants", extra={"fault": reason.getErrorMessage()}))
+        done.addBoth(lambda _: self.broker.reactor.callLater(self.broker.config.tenants.refresh_s, self.start))
+
+
+PARTS: tuple[tuple[Callable[[Config], Any], str, str], ...] = (
+    (lambda told: told.cells, __name__, "CellsPart"),
+    (lambda told: told.seats, __name__, "SeatsPart"),
+    (lambda told: told.hints.enabled, __name__, "HintsPart"),
+    (lambda told: told.tenants.ldap, __name__, "TenantsPart"),
+)
+"""All parts there are, in the order in which they are made and asked: what of the configuration switches each on, and
+the module and class that it is in."""
+
+
+def assemble(broker: Broker) -> list[Part]:
+    """The parts that are on. Raises :class:`~lotuspick.program.config.ConfigError` where one cannot begin."""
+    made: list[Part] = []
+    for on, module, name in PARTS:
+        if on(broker.config):
+            part: Part = getattr(importlib.import_module(module), name)(broker)
+            made.append(part)
+    return made
--- a/tests/test_seats_live.py
+++ b/tests/test_seats_live.py
@@ -24,7 +24,8 @@
 from lotuspick.interface import ServerList
 from lotuspick.lab.seats.trial import seats as seats_trial
 from lotuspick.plugin import Answer, Ending, Plugin, Refused, Released
-from lotuspick.program.entitled import Entitlement, SeatsConfig
+from lotuspick.program.config import SeatsConfig
+from lotuspick.program.entitled import Entitlement
 from lotuspick.transport.keys import KeyFolder
 from lotuspick.transport.seats import SeatStore, StoreFault
 
