Drive membership in the daemon: store for lives, driver, one connection a pair, commands

Need: membership was pure steps and a link that nothing used.

Change: transport/lasting.py holds what the store of seats had for itself (environment, checked records, group commit) and a store for parts in the step form; transport/steps.py drives them in the daemon, one batch on its way to the disk at a time; the link has one connection a pair, numbers its frames so that none is taken after a later one, says nothing to one that has not said who it is, and can reach peers by way of other addresses; membership/guide.py turns paid sessions away while the standing allows none, and a standing that was not looked at of late is unsure; deploy/peers.toml, checked at load; lotuspick members show, explain and drain by a control port on loopback; a drained member leaves, a dead one that is drained no longer counts as missing.

Found by asking both drivers what lotuspick/steps.py lists (tests/test_steps.py): in the simulated network writes could be told as lasting out of their order (world.py, _carry_out drew each one's time by itself), and a timer that was set twice fired twice (world.py, _happens took a missing timer for one that is due).

--- a/lotuspick/lab/net/world.py
+++ b/lotuspick/lab/net/world.py
@@ -50,6 +50,8 @@
     """Asked for since the start."""
     unsure: list[tuple[int, str, bytes]] = field(default_factory=list)
     """Those that do not last yet."""
+    kept_us: int = 0
+    """When the last of them does: writes last in their order."""
 
 
 class World:
@@ -84,7 +86,7 @@
             host.disk = {}
         host.process += 1
         host.up, host.machine, host.outbox, host.timers = True, host.make(), Outbox(), {}
-        host.stalled_until_us, host.writes, host.unsure = 0, 0, []
+        host.stalled_until_us, host.writes, host.kept_us, host.unsure = 0, 0, 0, []
         self._step(host, Started(dict(host.disk), self.random.getrandbits(62)))
         for event in host.begin:
             self._step(host, event)
@@ -143,9 +145,9 @@
     def _happens(self, host: Host, event: Any) -> None:
         match event:
             case Fired(timer=timer):
-                if host.timers.get(timer, 0) > self.clock(host):
-                    return  # another has taken its place
-                host.timers.pop(timer, None)
+                if timer not in host.timers or host.timers[timer] > self.clock(host):
+                    return  # another has taken its place, or had
+                del host.timers[timer]
             case Lasting(write=write):
                 while host.unsure and host.unsure[0][0] <= write:
                     _, key, record = host.unsure.pop(0)
@@ -164,8 +166,8 @@
                 case Write(key=key, record=record):
                     host.writes += 1
                     host.unsure.append((host.writes, key, record))
-                    self._later(self.now_us + self.random.randint(*self.weather.disk_us), host.name, host.process,
-                                Lasting(host.writes))
+                    host.kept_us = max(host.kept_us, self.now_us + self.random.randint(*self.weather.disk_us))
+                    self._later(host.kept_us, host.name, host.process, Lasting(host.writes))
                 case Send():
                     self._send(host, effect)
                 case SetTimer(timer=timer, delay_us=delay_us):
--- a/lotuspick/lab/seats/cost.py
+++ b/lotuspick/lab/seats/cost.py
@@ -15,7 +15,8 @@
 from lotuspick.entitlement.model import Seat
 from lotuspick.entitlement.tokens import Checker, PublicKey, sign
 from lotuspick.lab.seats import trial
-from lotuspick.transport.seats import GroupCommit, SeatStore
+from lotuspick.transport.lasting import GroupCommit
+from lotuspick.transport.seats import SeatStore
 
 Found = tuple[dict[str, float], dict[str, list[float]]]
 BATCH = 20_000
--- a/lotuspick/membership/members.py
+++ b/lotuspick/membership/members.py
@@ -49,6 +49,14 @@
     """Asked: say goodbye."""
 
 
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """Asked: take a member out of the fleet, whether it is there or dead for good. It stays out until a later process
+    comes under its name."""
+
+    name: str
+
+
 @dataclass(frozen=True, slots=True)
 class Begin:
     """Asked at the start, after ``Started``: who this broker is, and at which addresses others may be found."""
@@ -80,7 +88,10 @@
         self.since: dict[str, int] = {}  # when each was last changed here
         self.joined = False  # an answer of the fleet has come, or there is none to be asked
         self.displaced = self.left = False
-        self.false_accusations = 0  # of others, by this broker, that were refuted
+        self.because: dict[str, tuple[str, str]] = {}  # who said so when each was last changed here, and why
+        self.accusations = 0  # of others, by this broker
+        self.false_accusations = 0  # those of them that were refuted
+        self.refutations = 0  # of what others said of this broker
         self.refused: dict[str, int] = {}  # messages that could not be used, by peer
         self._random = random.Random(0)
         self._life = 0
@@ -114,6 +125,8 @@
                 self._begin(begin)
             case Asked(what=Leave()):
                 self._leave()
+            case Asked(what=Drain(name=name)) if self._takes_part:
+                self._drain(name)
             case Fired(timer=timer) if timer == PERIOD and self._takes_part:
                 self._period()
             case Heard(peer=peer, message=message) if self._takes_part:
@@ -144,6 +157,20 @@
         """Who is accused at present, and by whom."""
         return {name: tuple(sorted(doubt.by)) for name, doubt in self._doubts.items()}
 
+    def watched(self, name: str, now: int) -> dict[str, object]:
+        """Why this broker believes what it does of a member, at a time (us): who watches it, since when this broker has
+        heard nothing of it where it is among them, and who accuses it since when (all in ms)."""
+        told: dict[str, object] = {"watchers": sorted(self._watchers(name))}
+        if name in self._heard:
+            told["silent_ms"] = (now - self._heard[name]) // 1_000
+        doubt = self._doubts.get(name)
+        if doubt is not None:
+            told["doubted_ms"] = (now - doubt.since_us) // 1_000
+            told["accused_ms"] = {by: (now - at_us) // 1_000 for by, at_us in sorted(doubt.by.items())}
+        if name in self._deaf:
+            told["deaf_ms"] = (now - self._deaf[name]) // 1_000
+        return told
+
     # ---- start and end ------------------------------------------------------------------------------------
 
     def _begin(self, begin: Begin) -> None:
@@ -165,12 +192,25 @@
     def _leave(self) -> None:
         if self.own is None or self.left:
             return
-        gone = msgspec.structs.replace(self.own, state=State.LEFT, turn=self.own.turn + 1)
+        self._gone(msgspec.structs.replace(self.own, state=State.LEFT, turn=self.own.turn + 1), self.own.name, "left")
+
+    def _gone(self, gone: Record, by: str, why: str) -> None:
+        """This broker is out of the fleet: the last that it says."""
         told = [each.address for each in self.alive() if each.name != gone.name]
         for address in self._random.sample(told, min(len(told), max(3, self.rules.watchers))):
             self._send(address, Sync([gone]), sure=True)
         self.own, self.left = gone, True
-        self._take(gone, gone.name, "left")
+        self._take(gone, by, why)
+
+    def _drain(self, name: str) -> None:
+        """An operator's word. One that is there hears it with the news, and leaves."""
+        record = self.records.get(name)
+        if name == self._own_name:
+            self._leave()
+        elif record is not None and record.state is not State.LEFT:
+            gone = msgspec.structs.replace(record, state=State.LEFT, turn=record.turn + 1)
+            self._send(record.address, Sync([gone]), sure=True)
+            self._take(gone, self._own_name, "drained")
 
     def _rise(self, over: Record) -> None:
         """This process is the latest under its name: take a life above one that the fleet remembers."""
@@ -193,10 +233,11 @@
             return
         checked(record)
         if own is not None and record.name == own.name and record != own:
-            self._of_self(record)
+            self._of_self(record, by, why)
             return
         self.records[record.name] = record
         self.since[record.name] = self._now
+        self.because[record.name] = by, why
         self._doubts.pop(record.name, None)  # of an earlier turn, or of one that is dead by now
         if record.name in self._accused:
             self._accused.discard(record.name)
@@ -210,12 +251,15 @@
             self._heard.pop(record.name, None)  # no longer watched, though the rings are not drawn anew yet
             self._bury()
 
-    def _of_self(self, record: Record) -> None:
+    def _of_self(self, record: Record, by: str, why: str) -> None:
         """Others say of this broker's name what it did not say itself."""
         own = self.own
         assert own is not None
         if record.process == own.process:
-            if record.state is State.DEAD:  # refuted
+            if record.state is State.LEFT:  # drained
+                self._gone(record, by, why)
+            elif record.state is State.DEAD:  # refuted
+                self.refutations += 1
                 self.own = msgspec.structs.replace(own, turn=record.turn + 1)
                 self._take(self.own, own.name, "refuted")
         elif record.state is not State.ALIVE or record.address == own.address:
@@ -231,7 +275,7 @@
         if len(gone) - len(old) > self.rules.graveyard:
             old = sorted(gone, key=lambda each: self.since[each.name])[:len(gone) - self.rules.graveyard]
         for each in old:
-            del self.records[each.name], self.since[each.name]
+            del self.records[each.name], self.since[each.name], self.because[each.name]
 
     def _redraw(self) -> None:
         """Draw the rings anew, once a period at most: in a large fleet many come and go together."""
@@ -308,6 +352,7 @@
         silent = [name for name, at_us in self._heard.items() if self._now - at_us >= self.rules.silent_us]
         for name in silent:  # whom it watches may change with each
             if name in self._heard:
+                self.accusations += name not in self._accused
                 self._accused.add(name)
                 of = self.records[name]
                 self._doubted(Accusation(name, of.life, of.run, of.turn, self._own_name))
@@ -322,6 +367,7 @@
         if said.name == self._own_name:
             assert self.own is not None
             self._deaf[said.by] = self._now
+            self.refutations += 1
             self.own = msgspec.structs.replace(self.own, turn=self.own.turn + 1)
             self._take(self.own, self._own_name, f"refutes {said.by}")
             return
--- a/lotuspick/membership/standing.py
+++ b/lotuspick/membership/standing.py
@@ -55,6 +55,8 @@
     """How many belong to the fleet, whether they are up or not."""
     settle_us: int = 2_000_000
     """A better standing than before has to last so long; a worse one counts at once."""
+    fresh_us: int = 750_000
+    """A standing that was not looked at for so long is unsure: the process was away, and does not know it yet."""
     allowed: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -62,6 +64,8 @@
             raise MembershipFault(f"brokers must be a whole number of 1 or more, not {self.brokers!r}")
         if not isinstance(self.settle_us, int) or self.settle_us < 0:
             raise MembershipFault(f"settle_us must be 0 or more, not {self.settle_us!r}")
+        if not isinstance(self.fresh_us, int) or self.fresh_us < 1:
+            raise MembershipFault(f"fresh_us must be 1 or more, not {self.fresh_us!r}")
         for name, what in self.allowed.items():
             if name.upper() not in Standing.__members__:
                 raise MembershipFault(f"allowed.{name}: a standing is one of "
@@ -80,6 +84,7 @@
         self.now = Standing.UNSURE
         self._unsure_until_us: int | None = None
         self._better_since_us: int | None = None
+        self._seen_us = 0
 
     def stalled(self, now: int) -> None:
         """The process was away: it is unsure at once."""
@@ -87,9 +92,13 @@
         self._unsure_until_us = now + self.rules.settle_us
 
     def see(self, now: int, members: Members) -> Standing:
-        """Take what the members believe at a time (us); returns the standing that counts from now on."""
+        """Take what the members believe at a time (us); returns the standing that counts from now on. To be called each
+        period, and at once where it may have changed."""
         if self._unsure_until_us is None:
             self._unsure_until_us = now + self.rules.settle_us
+        elif now - self._seen_us > self.rules.fresh_us:
+            self.stalled(now)
+        self._seen_us = now
         seen = self._seen(now, members)
         if seen <= self.now:
             self.now, self._better_since_us = seen, None
@@ -113,7 +122,14 @@
             return Standing.MAJORITY
         return Standing.ALONE if reached <= 1 else Standing.MINORITY
 
-    def may(self, what: str) -> bool:
-        """Whether it may do what the table names."""
-        allowed = TABLE[self.now] & set(self.rules.allowed.get(self.now.name.lower(), WHAT))
+    def at(self, now: int) -> Standing:
+        """The standing at a time (us), whether it was looked at of late or not."""
+        if now - self._seen_us > self.rules.fresh_us and self.now > Standing.UNSURE:
+            return Standing.UNSURE
+        return self.now
+
+    def may(self, what: str, now: int | None = None) -> bool:
+        """Whether it may do what the table names, at a time (us); without one, when it was last looked at."""
+        standing = self.now if now is None else self.at(now)
+        allowed = TABLE[standing] & set(self.rules.allowed.get(standing.name.lower(), WHAT))
         return what in allowed
--- a/lotuspick/program/cli.py
+++ b/lotuspick/program/cli.py
@@ -23,16 +23,18 @@
 CellsOption = Annotated[Path | None, typer.Option("--cells", help="The file of cells.")]
 SeatsOption = Annotated[Path | None, typer.Option("--seats", help="The file of seats.")]
 
+PeersOption = Annotated[Path | None, typer.Option("--peers", help="The file of the other brokers.")]
+
 
 @app.command()
 def serve(path: ConfigOption = None, hints: HintsOption = None, tenants: TenantsOption = None,
-          cells: CellsOption = None, seats: SeatsOption = None,
+          cells: CellsOption = None, seats: SeatsOption = None, peers: PeersOption = None,
           log_level: Annotated[str, typer.Option(help=" | ".join(logs.LEVELS))] = "info") -> None:
     """Serve viewers until SIGTERM."""
     if log_level not in logs.LEVELS:
         raise typer.BadParameter(f"must be one of {', '.join(logs.LEVELS)}", param_hint="--log-level")
     try:
-        serve_viewers(Files(path, hints, tenants, cells, seats), log_level)
+        serve_viewers(Files(path, hints, tenants, cells, seats, peers), log_level)
     except ConfigError as error:
         raise _unusable(error) from None
 
@@ -44,10 +46,11 @@
 
 @app.command("check-config")
 def check_config(path: ConfigOption = None, hints: HintsOption = None,
-                 tenants: TenantsOption = None, cells: CellsOption = None, seats: SeatsOption = None) -> None:
+                 tenants: TenantsOption = None, cells: CellsOption = None, seats: SeatsOption = None,
+                 peers: PeersOption = None) -> None:
     """Read and check the configuration, and say what was understood."""
     try:
-        loaded = Files(path, hints, tenants, cells, seats).load()
+        loaded = Files(path, hints, tenants, cells, seats, peers).load()
     except ConfigError as error:
         raise _unusable(error) from None
     front = f"{loaded.hints.host}:{loaded.hints.port}" if loaded.hints.enabled else "off"
@@ -56,7 +59,8 @@
                f"classes {', '.join(each.name for each in loaded.settings.classes)}, hints front {front}, "
                f"tenants {loaded.tenants.ldap.url if loaded.tenants.ldap else 'none'}, "
                f"cells {len(loaded.cells.cells) if loaded.cells else 'none'}, "
-               f"seats {', '.join(sorted(loaded.seats.rules.classes)) if loaded.seats else 'none'}")
+               f"seats {', '.join(sorted(loaded.seats.rules.classes)) if loaded.seats else 'none'}, "
+               f"peers {f'{loaded.peers.standing.brokers} at {loaded.peers.listen[0]}' if loaded.peers else 'none'}")
 
 
 def _later(name: str, module: str, missing: str) -> None:
@@ -73,6 +77,7 @@
     help_ = {"cells": "Tenants and lessons confined to parts of the fleet: check, show, explain, move.",
              "keys": "Keys that sign and check tokens: make, list, withdraw.",
              "seats": "Seats that are paid for: issue, show, renew, revoke, settle.",
+             "members": "The brokers of a fleet: show, explain, drain.",
              "lab": "Experiments on the project's own model of the world: list, verify, run."}
     app.command(name, help=help_[name], context_settings={
         "allow_extra_args": True, "ignore_unknown_options": True, "help_option_names": []})(call)
@@ -81,6 +86,7 @@
 _later("cells", "lotuspick.program.cells", "a library is missing")
 _later("keys", "lotuspick.program.keys", "a library is missing")
 _later("seats", "lotuspick.program.seats", "a library is missing")
+_later("members", "lotuspick.program.members", "a library is missing")
 _later("lab", "lotuspick.lab.cli", "the lab is an extra, pip install 'lotuspick[lab]' brings it")
 
 
--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -2,7 +2,8 @@
 
 A broker is told what it is by the JSON file that ``PROXY_CONFIG`` names. Files of the operators' own switch on
 what is off else: ``deploy/hints.toml`` the second front, ``deploy/tenants.toml`` the directory of tenants,
-``deploy/cells.toml`` the cells, ``deploy/seats.toml`` the seats. Each message names the key at fault.
+``deploy/cells.toml`` the cells, ``deploy/seats.toml`` the seats, ``deploy/peers.toml`` the talk among brokers. Each
+message names the key at fault.
 """
 
 from __future__ import annotations
@@ -23,11 +24,14 @@
 if TYPE_CHECKING:
     from lotuspick.cells.model import Plan
     from lotuspick.entitlement.guide import Rules
+    from lotuspick.membership.model import Rules as Watch
+    from lotuspick.membership.standing import StandingRules
 
 DEFAULT_HINTS = Path("deploy/hints.toml")
 DEFAULT_TENANTS = Path("deploy/tenants.toml")
 DEFAULT_CELLS = Path("deploy/cells.toml")
 DEFAULT_SEATS = Path("deploy/seats.toml")
+DEFAULT_PEERS = Path("deploy/peers.toml")
 DEFAULT_MEMORY_MB, DEFAULT_SOCKETS = 192, 1_024
 LEAST_SOCKETS = 64
 DEFAULT_PERIOD_US = 10_000
@@ -79,6 +83,24 @@
     proofs: Path | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PeersConfig:
+    """The other brokers of the fleet: the file of peers."""
+
+    listen: tuple[str, int]
+    seeds: tuple[str, ...]
+    store: Path
+    watch: Watch
+    standing: StandingRules
+    control: tuple[str, int] | None = None
+    """Where operators' commands are answered; None: nowhere."""
+    offers: tuple[str, ...] = ()
+    via: Mapping[str, str] = field(default_factory=dict)
+    """Where peers are reached that are not reached at their own addresses."""
+    gap_us: int = 1_000_000
+    """How long paid sessions are asked to stay away that the standing does not allow."""
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -104,10 +126,13 @@
     """None: there are no cells."""
     seats: SeatsConfig | None = None
     """None: nothing is asked for tokens."""
+    peers: PeersConfig | None = None
+    """None: this broker talks to no other."""
 
 
 def load(environment: Mapping[str, str], path: Path | None = None, hints: Path | None = None,
-         tenants: Path | None = None, cells: Path | None = None, seats: Path | None = None) -> Config:
+         tenants: Path | None = None, cells: Path | None = None, seats: Path | None = None,
+         peers: Path | None = None) -> Config:
     """Read all of it: the file at ``path``, or that of ``PROXY_CONFIG``; the environment wins over both."""
     named = str(path or environment.get("PROXY_CONFIG", ""))
     if not named:
@@ -125,13 +150,14 @@
         if environment.get(variable):
             told[key] = environment[variable]
     try:
-        return read(told, read_hints(hints), read_tenants(tenants), read_cells(cells), seats)
+        return read(told, read_hints(hints), read_tenants(tenants), read_cells(cells), seats, peers)
     except ConfigError as error:
         raise ConfigError(f"{named}: {error}") from None
 
 
 def read(told: Mapping[str, Any], hints: HintsConfig | None = None,
-         tenants: TenantsConfig | None = None, cells: Plan | None = None, seats: Path | None = None) -> Config:
+         tenants: TenantsConfig | None = None, cells: Plan | None = None, seats: Path | None = None,
+         peers: Path | None = None) -> Config:
     """Check the parsed object and give defaults."""
     settings = _get(told, "settings", dict)
     pairs = dict(flatten(settings))
@@ -170,6 +196,7 @@
             tenants=tenants or TenantsConfig(),
             cells=cells,
             seats=read_seats(known_settings, seats),
+            peers=read_peers(peers),
         )
     except WireError as error:
         raise ConfigError(f"settings: {error}") from None
@@ -264,6 +291,78 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def read_peers(path: Path | None = None) -> PeersConfig | None:
+    """The file of peers; without one, or with one that is not enabled, this broker talks to no other."""
+    keys = {"enabled", "listen", "seeds", "store", "control", "offers", "brokers", "gap_s", "via", "watch", "allowed"}
+    told = _toml(path, DEFAULT_PEERS, keys)
+    path = path or DEFAULT_PEERS
+    try:
+        if not _get(told, "enabled", bool, False):
+            return None
+        from lotuspick.membership.model import MOST_OFFERS, MOST_TEXT, MembershipFault  # loaded only where it is on
+        from lotuspick.membership.model import Rules as Watch
+        from lotuspick.membership.standing import StandingRules
+
+        listen = _address(told, "listen")
+        _own(listen[0])
+        control = _address(told, "control") if "control" in told else None
+        if control is not None and not control[0].startswith("127."):
+            raise ConfigError(f"control must be a loopback address, not {control[0]}")
+        seeds, offers = _texts(told, "seeds"), _texts(told, "offers")
+        for seed in seeds:
+            _address({"seeds": seed}, "seeds")
+        if len(offers) > MOST_OFFERS or any(len(each) > MOST_TEXT for each in offers):
+            raise ConfigError(f"offers must be {MOST_OFFERS} at most, of {MOST_TEXT} characters at most")
+        via = _get(told, "via", dict, {})
+        for peer in via:
+            _address({"via": peer}, "via")
+            _address(via, peer)
+        brokers = _number(told, "brokers", len(seeds), 1)
+        watch = _get(told, "watch", dict, {})
+        times = {"period_ms": 250, "silent_ms": 700, "doubt_ms": 1_300, "settle_ms": 2_000}
+        if unknown := sorted(set(watch) - set(times)):
+            raise ConfigError(f"watch.{unknown[0]} is not a key of this file")
+        us = {key.replace("_ms", "_us"): _number(watch, f"watch.{key}", default, 1) * 1_000
+              for key, default in times.items()}
+        allowed = {name: _texts(_get(told, "allowed", dict), name) for name in _get(told, "allowed", dict, {})}
+        settle_us = us.pop("settle_us")
+        try:
+            return PeersConfig(
+                listen, seeds, path.parent / _get(told, "store", str), Watch(**us),
+                StandingRules(brokers, settle_us, fresh_us=3 * us["period_us"], allowed=allowed), control, offers, via,
+                _number(told, "gap_s", 1, 0) * 1_000_000)
+        except MembershipFault as fault:
+            raise ConfigError(str(fault).replace("_us must", "_ms must")) from None
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _own(host: str) -> None:
+    """Guards against a link that is open to more than the network between brokers, on which nobody proves who they are:
+    the operator names one address of this host's, and not one that the world can reach."""
+    import ipaddress
+    import socket
+
+    try:
+        place = ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ConfigError(f"listen must name an IPv4 address, not {host[:40]!r}") from None
+    if place.is_unspecified or place.is_multicast or place.is_global:
+        raise ConfigError(f"listen must be one address of this host's on a private network, not {host}")
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, 0))
+        except OSError as error:
+            raise ConfigError(f"listen: {host} is not an address of this host: {error.strerror}") from None
+
+
+def _texts(told: Mapping[str, Any], key: str) -> tuple[str, ...]:
+    listed = _get(told, key, list, [])
+    if not all(isinstance(each, str) for each in listed):
+        raise ConfigError(f"{key} must be a list of texts")
+    return tuple(listed)
+
+
 def _toml(path: Path | None, default: Path, keys: set[str] | None) -> dict[str, Any]:
     """A file of the operators' own; the default one need not exist. ``keys``: those that it may have, where they
     are not checked later."""
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -109,8 +109,6 @@
             return
         self.stopping = True
         log.info("stopping", extra={"sessions": len(self.loop.table)})
-        for part in self.parts:
-            part.stopping()
         now_s = self.reactor.seconds()
         play_s = max(STAY_S, self.config.grace_us / SECOND - LEAVE_S)
         self.reactor.callLater(STAY_S, self._stop_when_done, now_s + play_s, now_s + LONGEST_S)
@@ -124,6 +122,8 @@
         else:  # nothing stands any more: it has ended by itself, or just above
             self.listener.stopListening()
             self.front.finish()
+            for part in self.parts:
+                part.finish()
             self.reactor.callLater(0.1, self.reactor.stop)  # what was just written leaves first
 
     def _tick(self, told: int) -> None:
--- a/lotuspick/program/entitled.py
+++ b/lotuspick/program/entitled.py
@@ -17,7 +17,8 @@
 from lotuspick.routing.ports import Dismissed, Inbound, Settled
 from lotuspick.transport.base import wall_s
 from lotuspick.transport.keys import KeyFault, KeyFolder
-from lotuspick.transport.seats import Done, GroupCommit, SeatStore, StoreFault
+from lotuspick.transport.lasting import Done, GroupCommit, StoreFault
+from lotuspick.transport.seats import SeatStore
 
 log = logging.getLogger(__name__)
 
--- a/lotuspick/program/parts.py
+++ b/lotuspick/program/parts.py
@@ -75,8 +75,8 @@
         """Take over what it can of a configuration that was read again; returns ``taken`` with that in it."""
         return taken
 
-    def stopping(self) -> None:
-        """A planned end begins."""
+    def finish(self) -> None:
+        """A planned end: nothing is owed any more, and what is said now still leaves."""
 
     def close(self) -> None:
         """The reactor has ended: nothing is served any more."""
@@ -182,6 +182,7 @@
 PARTS: tuple[tuple[Callable[[Config], Any], str, str], ...] = (
     (lambda told: told.cells, __name__, "CellsPart"),
     (lambda told: told.seats, __name__, "SeatsPart"),
+    (lambda told: told.peers, "lotuspick.program.peers", "PeersPart"),
     (lambda told: told.hints.enabled, __name__, "HintsPart"),
     (lambda told: told.tenants.ldap, __name__, "TenantsPart"),
 )
--- /dev/null
+++ b/lotuspick/program/peers.py
@@ -0,0 +1,197 @@
+"""Membership put together: link, store, members and standing round the guide, and the answers to operators."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from importlib import metadata
+from typing import Any
+
+from lotuspick.interface import Guide
+from lotuspick.membership.guide import FleetGuide
+from lotuspick.membership.members import Begin, Drain, Leave, Members
+from lotuspick.membership.model import Changed, Displaced, Record, Stalled, State
+from lotuspick.membership.standing import Standings
+from lotuspick.news import News
+from lotuspick.program.config import ConfigError
+from lotuspick.program.parts import Broker, Part
+from lotuspick.steps import Send
+from lotuspick.transport.control import ControlFault, ControlPort
+from lotuspick.transport.lasting import Done, GroupCommit, StepStore, StoreFault
+from lotuspick.transport.peers import Peers
+from lotuspick.transport.steps import Driver, awake_us
+
+log = logging.getLogger(__name__)
+
+SWEEP_S = 10
+
+
+class PeersPart(Part):
+    """This broker among the others of its fleet."""
+
+    def __init__(self, broker: Broker) -> None:
+        super().__init__(broker)
+        told = broker.config.peers
+        assert told is not None
+        self.told = told
+        draw = random.SystemRandom()
+        try:
+            self.store = StepStore(told.store)
+            self.records = self.store.load()
+        except StoreFault as fault:
+            raise ConfigError(f"peers: store: {fault}") from None
+        self.commits = GroupCommit(self.store, self._lasting, name="steps")
+        self.members = Members(told.watch)
+        self.standings = Standings(told.standing)
+        self.link = Peers(broker.reactor, told.listen[0], self._heard, told.via, draw.getrandbits(62))
+        self.driver = Driver(broker.reactor, self.members, self.commits.submit_all, self._send, self._told)
+        paid = frozenset(each.name for each in broker.config.settings.classes if each.effect == "paid")
+        self.fleet = FleetGuide(self.standings, paid, awake_us, told.gap_us)
+        self.guide: Guide | None = self.fleet
+        self.seed = draw.getrandbits(62)
+        self._said = self.standings.now
+        self._ticks = self._stalls = 0
+        self._port: Any = None
+
+    def start(self) -> None:
+        told, broker = self.told, self.broker.config
+        address = self.link.listen(told.listen[1])
+        self.driver.start(self.records, self.seed)
+        self.driver.ask(Begin(broker.name, address, told.seeds, broker.settings.zone, version(), told.offers))
+        control = ""
+        if told.control is not None:
+            self._port = ControlPort(self.answer).listen(self.broker.reactor, *told.control)
+            control = "{0.host}:{0.port}".format(self._port.getHost())
+        log.info("peers", extra={"address": address, "control": control, "seeds": ",".join(told.seeds)})
+        self._follow()
+
+    # ---- between link, store and members ------------------------------------------------------------------
+
+    def _heard(self, peer: str, message: Any) -> None:
+        self.driver.heard(peer, message)
+
+    def _send(self, effect: Send) -> None:
+        self.link.send(effect.peer, effect.message, effect.sure)
+
+    def _lasting(self, heard: list[tuple[Done, str]]) -> None:
+        """On the thread of the commits."""
+
+        def tell() -> None:
+            for done, fault in heard:
+                done(fault)
+
+        self.broker.reactor.callFromThread(tell)
+
+    def _told(self, news: Any) -> None:
+        """What the members have to tell, each in a line of its own."""
+        match news:
+            case Changed(record=record, by=by, why=why):
+                log.info("member", extra={**line(record), "by": by, "why": why})
+                if record.state is not State.ALIVE:
+                    self.link.gone(record.address)
+            case Displaced(record=record):
+                log.error("displaced: another process has this broker's name, no paid session is taken until a restart",
+                          extra=line(record))
+            case Stalled(away_us=away_us):
+                self._stalls += 1
+                self.standings.stalled(awake_us())
+                log.warning("stalled", extra={"away_ms": away_us // 1_000})
+
+    def _follow(self) -> None:
+        """Twice a period the standing is looked at; a change is a line."""
+        standing = self.standings.see(awake_us(), self.members)
+        if standing is not self._said:
+            log.info("standing", extra={
+                "standing": standing.name.lower(), "before": self._said.name.lower(),
+                "reached": len(self.members.reached()), "known": len(self.members.records),
+                "missing": ",".join(sorted(self._missing())[:16])})
+            self._said = standing
+        self._call = self.broker.reactor.callLater(self.told.watch.period_us / 2e6, self._follow)
+
+    def _missing(self) -> set[str]:
+        reached = {each.name for each in self.members.reached()}
+        return {name for name, each in self.members.records.items()
+                if each.state is not State.LEFT and name not in reached}
+
+    # ---- while it serves ----------------------------------------------------------------------------------
+
+    def tick(self, now: int, summary: bool) -> list[News]:
+        self._ticks += 1
+        if self._ticks % SWEEP_S == 0:
+            self.link.sweep()
+        return [News("members", self.counts())] if summary else []
+
+    def finish(self) -> None:
+        """The last that it says: that it has left, so nobody has to find out."""
+        self.driver.ask(Leave())
+
+    def close(self) -> None:
+        self.driver.close()
+        self.link.close()
+        self.commits.close()
+        self.store.close()
+
+    # ---- operators ----------------------------------------------------------------------------------------
+
+    def counts(self) -> dict[str, str | int]:
+        """Figures since the start."""
+        members = self.members
+        return {"standing": self.standings.at(awake_us()).name.lower(), "alive": len(members.alive()),
+                "reached": len(members.reached()), "accusations": members.accusations,
+                "false_accusations": members.false_accusations, "refutations": members.refutations,
+                "stalls": self._stalls, "refused_messages": sum(members.refused.values()),
+                "paid_turned_away": self.fleet.turned_away.total(),
+                **{f"link_{key.replace('-', '_')}": count for key, count in sorted(self.link.counts.items())}}
+
+    def answer(self, asked: dict[str, Any]) -> dict[str, Any]:
+        """What a command asks. Raises :class:`ControlFault`."""
+        name = asked.get("name")
+        asks: dict[str, Callable[[], dict[str, Any]]] = {
+            "show": self._show, "explain": lambda: self._explain(name), "drain": lambda: self._drain(name)}
+        what = asks.get(str(asked.get("ask")))
+        if what is None:
+            raise ControlFault(f"ask must be one of {', '.join(asks)}")
+        return what()
+
+    def _show(self) -> dict[str, Any]:
+        return {"own": self.broker.config.name, "counts": self.counts(), "disk": self.driver.fault,
+                "members": [self._member(name) for name in sorted(self.members.records)]}
+
+    def _record(self, name: object) -> Record:
+        record = self.members.records.get(str(name))
+        if record is None:
+            raise ControlFault(f"no member is named {str(name)[:64]!r}")
+        return record
+
+    def _member(self, name: str) -> dict[str, Any]:
+        members = self.members
+        record = self._record(name)
+        by, why = members.because[name]
+        return {**line(record), "offers": list(record.offers), "accused_by": list(members.accused().get(name, ())),
+                "reached": record in members.reached(), "by": by, "why": why,
+                "since_s": round((awake_us() - members.since[name]) / 1e6, 1)}
+
+    def _explain(self, name: object) -> dict[str, Any]:
+        return {"own": self.broker.config.name, "member": self._member(self._record(name).name),
+                **self.members.watched(self._record(name).name, awake_us())}
+
+    def _drain(self, name: object) -> dict[str, Any]:
+        record = self._record(name)
+        if record.state is State.LEFT:
+            raise ControlFault(f"{record.name} has left already")
+        self.driver.ask(Drain(record.name))
+        return {"own": self.broker.config.name, "member": self._member(record.name)}
+
+
+def line(record: Record) -> dict[str, Any]:
+    """A member in a line's words."""
+    return {"member": record.name, "state": record.state.name.lower(), "life": record.life,
+            "address": record.address, "zone": record.zone, "version": record.version}
+
+
+def version() -> str:
+    try:
+        return metadata.version("lotuspick")
+    except metadata.PackageNotFoundError:
+        return "sources"
--- a/lotuspick/program/seats.py
+++ b/lotuspick/program/seats.py
@@ -18,7 +18,8 @@
 from lotuspick.entitlement.tokens import Checker, PublicKey, sign
 from lotuspick.program.entitled import EntitlementFault, read_proofs, read_revoked
 from lotuspick.transport.keys import KeyFault, KeyFolder
-from lotuspick.transport.seats import StoreFault, read
+from lotuspick.transport.lasting import StoreFault
+from lotuspick.transport.seats import read
 
 app = typer.Typer(help="Seats that are paid for.", no_args_is_help=True, pretty_exceptions_enable=False)
 Keys = Annotated[Path, typer.Option("--keys", help="The folder of keys.")]
--- a/lotuspick/program/serve.py
+++ b/lotuspick/program/serve.py
@@ -26,10 +26,12 @@
     tenants: Path | None = None
     cells: Path | None = None
     seats: Path | None = None
+    peers: Path | None = None
 
     def load(self) -> config.Config:
         """Read and check all of them. Raises :class:`ConfigError`, whose text names file and key."""
-        return config.load(os.environ, self.broker, self.hints, self.tenants, self.cells, self.seats)
+        return config.load(os.environ, self.broker, self.hints, self.tenants, self.cells, self.seats,
+                           self.peers)
 
 
 def serve(files: Files, log_level: str = "info") -> None:
--- /dev/null
+++ b/lotuspick/transport/steps.py
@@ -0,0 +1,142 @@
+"""The daemon's driver of parts in the step form: Twisted's timers, a store that lasts, the link between brokers.
+
+It keeps what :mod:`lotuspick.steps` lists and has no logic beyond that; ``tests/test_steps.py`` holds it and the
+simulated network to the same list.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from lotuspick.steps import (
+    Asked,
+    Effect,
+    Event,
+    Fired,
+    Heard,
+    Lasting,
+    Machine,
+    Outbox,
+    Send,
+    SetTimer,
+    Started,
+    Tell,
+    Write,
+)
+from lotuspick.transport.base import Reactor
+
+log = logging.getLogger(__name__)
+
+AGAIN_S = 1.0  # between tries of a write that the disk did not take
+Keep = Callable[[Sequence[tuple[str, bytes]], Callable[[str], None]], None]
+"""Writes records, all or nothing, and calls back, where the decisions are made, with what was wrong or nothing."""
+
+
+def awake_us() -> int:
+    """Time since the machine started, which goes on while it sleeps (us)."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000
+
+
+class Driver:
+    """Drives one machine. ``send`` carries a message out and ``tell`` takes its news; neither may step it by itself."""
+
+    def __init__(self, reactor: Reactor, machine: Machine, keep: Keep, send: Callable[[Send], object],
+                 tell: Callable[[Any], None], clock: Callable[[], int] = awake_us) -> None:
+        self.reactor, self.machine, self.clock = reactor, machine, clock
+        self.keep, self.send, self.tell = keep, send, tell
+        self.fault = ""
+        """Why the disk does not take what is written; empty: it does."""
+        self._outbox = Outbox()
+        self._unwritten: list[tuple[str, bytes]] = []  # in order; the first so many are on their way to the disk
+        self._writing = 0
+        self._timers: dict[str, tuple[int, Any]] = {}  # when each is due, and the call that waits for it
+        self._events: deque[Event] = deque()
+        self._stepping = self._closed = False
+
+    # ---- events -------------------------------------------------------------------------------------------
+
+    def start(self, records: dict[str, bytes], seed: int) -> None:
+        self._happens(Started(records, seed))
+
+    def heard(self, peer: str, message: Any) -> None:
+        self._happens(Heard(peer, message))
+
+    def ask(self, what: Any) -> None:
+        self._happens(Asked(what))
+
+    def close(self) -> None:
+        """No timer fires any more, and nothing is sent."""
+        self._closed = True
+        for _, call in self._timers.values():
+            if call.active():
+                call.cancel()
+        self._timers.clear()
+
+    def _happens(self, event: Event) -> None:
+        """One event after another: what an effect brings about waits until all effects before it are carried out."""
+        self._events.append(event)
+        if self._stepping:
+            return
+        self._stepping = True
+        try:
+            while self._events and not self._closed:
+                self._carry_out(self._outbox.put(self.machine.step(self.clock(), self._events.popleft())))
+        finally:
+            self._stepping = False
+
+    # ---- effects ------------------------------------------------------------------------------------------
+
+    def _carry_out(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Write(key=key, record=record):
+                    self._unwritten.append((key, record))
+                case Send():
+                    self.send(effect)
+                case SetTimer(timer=timer, delay_us=delay_us):
+                    self._set(timer, self.clock() + delay_us)
+                case Tell(news=news):
+                    self.tell(news)
+        self._write()
+
+    def _write(self) -> None:
+        """One batch is on its way at a time, so that no later write lasts before an earlier one."""
+        if self._writing or not self._unwritten or self._closed:
+            return
+        self._writing = len(self._unwritten)
+        self.keep(tuple(self._unwritten), self._written)
+
+    def _written(self, fault: str) -> None:
+        count, self._writing = self._writing, 0
+        if self._closed:
+            return
+        if fault:
+            if fault != self.fault:
+                log.error("a record does not last, nothing that rests on it is said", extra={"fault": fault})
+            self.fault = fault
+            self.reactor.callLater(AGAIN_S, self._write)
+            return
+        self.fault = ""
+        del self._unwritten[:count]
+        last = self._outbox.lasting + count
+        first = self._outbox.lasting + 1
+        self._carry_out(self._outbox.lasts(last))
+        for write in range(first, last + 1):
+            self._happens(Lasting(write))
+        self._write()
+
+    def _set(self, timer: str, due_us: int) -> None:
+        if timer in self._timers and self._timers[timer][1].active():
+            self._timers[timer][1].cancel()
+        self._timers[timer] = (due_us, self.reactor.callLater(max(0, due_us - self.clock()) / 1e6, self._fire, timer))
+
+    def _fire(self, timer: str) -> None:
+        due_us, _ = self._timers.pop(timer)
+        if self.clock() < due_us:  # the reactor's clock is another one: late it may be, never early
+            self._set(timer, due_us)
+            return
+        self._happens(Fired(timer))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -336,7 +336,7 @@
             with self.assertRaisesRegex(MembershipFault, wanted):
                 StandingRules(5, allowed=allowed)
         self.assertRaisesRegex(MembershipFault, "brokers", StandingRules, 0)
-        made = Standings(StandingRules(1, 0, {"whole": ("plain", "paid")}))
+        made = Standings(StandingRules(1, 0, allowed={"whole": ("plain", "paid")}))
         alone = Members()
         alone.step(0, Started({}, 1)), alone.step(0, Asked(Begin("b", "h")))
         self.assertEqual(made.see(0, alone), Standing.WHOLE)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,7 +15,7 @@
 
 from lotuspick.membership.model import Ack, Digest, Ping, Record, Sync
 from lotuspick.transport import peers
-from lotuspick.transport.peers import MOST_FRAME, MOST_WAITING, Envelope, Hello, Peers
+from lotuspick.transport.peers import MOST_FRAME, MOST_WAITING, Envelope, Hello, Numbered, Peers
 
 ROOT = Path(__file__).parent.parent
 LOOPBACK = """
@@ -53,9 +53,21 @@
 
 
 class Pipe(StringTransport):
+    aborting = False
+
     def setTcpNoDelay(self, on: bool) -> None:
         pass
 
+    def getHandle(self) -> Any:
+        return self
+
+    def setsockopt(self, *told: int) -> None:
+        pass
+
+
+def numbered(count: int, first: int = 1) -> bytes:
+    return b"".join(framed(Numbered(number, Digest(number))) for number in range(first, first + count))
+
 
 class Links(unittest.TestCase):
     def setUp(self) -> None:
@@ -64,66 +76,133 @@
         self.peers = Peers(self.reactor, "127.0.0.1", lambda peer, message: self.heard.append((peer, message)))
         self.peers.address = "127.0.0.1:1"
 
-    def dialled(self) -> Any:
+    def dialled(self, greeted: bool = True) -> Any:
         """The dial that is waited for comes up."""
         *_, (host, port, factory, *_rest) = self.reactor.tcpClients
         made = factory.buildProtocol(None)
         made.makeConnection(Pipe())
+        if greeted:
+            made._wrappedProtocol.dataReceived(framed(Hello(made._wrappedProtocol.line.peer, 1, 7)))
         return made._wrappedProtocol
 
-    def inbound(self) -> Any:
-        made = peers.Inbound(self.peers)
+    def inbound(self, address: str = "", run: int = 7) -> Any:
+        """A connection that a peer has dialled, and on which it has said who it is."""
+        made = peers.Connection(self.peers)
         made.makeConnection(Pipe())
+        if address:
+            made.dataReceived(framed(Hello(address, 1, run)))
         return made
 
+    def say(self, peer: str, number: int) -> bool:
+        return self.peers.send(peer, Digest(number), True)
+
     def test_frames_on_loopback_keep_their_order(self) -> None:
         done = subprocess.run([sys.executable, "-c", LOOPBACK], cwd=ROOT, capture_output=True, text=True, timeout=60)
         self.assertEqual((done.stdout, done.stderr), ("all in order\n", ""))
 
     def test_one_dial_a_peer_and_hello_first(self) -> None:
-        for number in range(3):
-            self.assertTrue(self.peers.send("127.0.0.1:2", Digest(number), True))
+        for number in range(1, 4):
+            self.assertTrue(self.say("127.0.0.1:2", number))
         self.assertEqual(len(self.reactor.tcpClients), 1)
-        line = self.dialled()
-        self.assertEqual(line.transport.value(), framed(Hello("127.0.0.1:1")) + b"".join(
-            framed(Digest(number)) for number in range(3)))
+        run = self.peers.lines["127.0.0.1:2"].run
+        hello = framed(Hello("127.0.0.1:1", 1, run))
+        made = self.dialled(greeted=False)
+        self.assertEqual(made.transport.value(), hello)  # nothing is said to whoever does not say who it is
+        made.dataReceived(framed(Hello("127.0.0.1:2")))
+        self.assertEqual(made.transport.value(), hello + numbered(3))
+
+    def test_one_connection_carries_both_ways(self) -> None:
+        made = self.inbound("127.0.0.1:2")
+        self.say("127.0.0.1:2", 1)
+        self.assertEqual(self.reactor.tcpClients, [])
+        self.assertTrue(made.transport.value().endswith(numbered(1)))
+        made.dataReceived(numbered(2))
+        self.assertEqual(self.heard, [("127.0.0.1:2", Digest(1)), ("127.0.0.1:2", Digest(2))])
+
+    def test_of_two_that_cross_the_lower_address_stays(self) -> None:
+        for peer, mine in (("127.0.0.1:2", True), ("127.0.0.0:9", False)):
+            for dialled_first in (True, False):
+                with self.subTest(peer=peer, dialled_first=dialled_first):
+                    self.setUp()
+                    self.say(peer, 1)
+                    if dialled_first:
+                        own, other = self.dialled(), self.inbound(peer)
+                    else:
+                        other = self.inbound(peer)
+                        if not mine:  # its own attempt would only be given up
+                            self.assertTrue(self.reactor.connectors[-1].stoppedConnecting)
+                            continue
+                        own = self.dialled()
+                    stays, goes = (own, other) if mine else (other, own)
+                    self.say(peer, 2)
+                    self.assertTrue(stays.transport.value().endswith(numbered(1, 2)))
+                    goes.dataReceived(framed(Numbered(1, Digest(1))))  # what was under way on it still comes
+                    self.assertEqual(self.heard, [(peer, Digest(1))])
+                    self.reactor.advance(peers.LINGER_S + 1)
+                    self.assertEqual((goes.transport.disconnecting, stays.transport.disconnecting), (True, False))
+
+    def test_nothing_is_taken_after_what_came_later(self) -> None:
+        one, other = self.inbound("127.0.0.1:2"), self.inbound("127.0.0.1:2")
+        other.dataReceived(numbered(1, 2))
+        one.dataReceived(numbered(2))
+        self.assertEqual((self.heard, self.peers.counts["overtaken"]), ([("127.0.0.1:2", Digest(2))], 2))
+        anew = self.inbound("127.0.0.1:2", run=8)  # the peer was started anew: what its earlier self says is past
+        anew.dataReceived(numbered(1))
+        other.dataReceived(numbered(1, 3))
+        self.assertEqual(self.heard[1:], [("127.0.0.1:2", Digest(1))])
+        self.assertTrue(other.transport.disconnected or other.transport.aborting)
 
     def test_a_slow_peer_costs_its_own_messages_alone(self) -> None:
-        self.peers.send("127.0.0.1:2", Digest(0), True)
+        self.say("127.0.0.1:2", 0)
         line = self.dialled()
         line.pauseProducing()  # its buffers are full
         before = len(line.transport.value())
-        taken = sum(self.peers.send("127.0.0.1:2", Digest(number), True) for number in range(MOST_WAITING + 50))
+        taken = sum(self.say("127.0.0.1:2", number) for number in range(MOST_WAITING + 50))
         self.assertEqual((taken, self.peers.counts["refused"]), (MOST_WAITING, 50))
         self.assertEqual(len(line.transport.value()), before)
-        self.assertTrue(self.peers.send("127.0.0.1:3", Digest(1), True))
+        self.assertTrue(self.say("127.0.0.1:3", 1))
         line.resumeProducing()
         self.assertFalse(self.peers.lines["127.0.0.1:2"].waiting)
 
     def test_what_waits_goes_out_on_the_next_connection(self) -> None:
-        self.peers.send("127.0.0.1:2", Digest(0), True)
+        self.say("127.0.0.1:2", 1)
         line = self.dialled()
         line.pauseProducing()
-        self.peers.send("127.0.0.1:2", Digest(1), True)
+        self.say("127.0.0.1:2", 2)
         line.connectionLost(Failure(error.ConnectionLost()))
         self.reactor.advance(peers.AGAIN_S)
-        self.assertIn(framed(Digest(1)), self.dialled().transport.value())
+        self.assertIn(numbered(1, 2), self.dialled().transport.value())
 
     def test_a_peer_that_takes_no_connection_is_given_up_and_dialled_for_the_next(self) -> None:
-        self.peers.send("127.0.0.1:2", Digest(0), True)
+        self.say("127.0.0.1:2", 0)
         self.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
         self.assertEqual((self.peers.counts["not-dialled"], len(self.peers.lines["127.0.0.1:2"].waiting)), (1, 0))
-        self.peers.send("127.0.0.1:2", Digest(1), True)
+        self.say("127.0.0.1:2", 1)
         self.assertEqual(len(self.reactor.tcpClients), 2)
 
+    def test_a_peer_that_is_gone_is_let_go_and_reached_elsewhere_if_told_so(self) -> None:
+        self.say("127.0.0.1:2", 0)
+        line = self.dialled()
+        self.peers.gone("127.0.0.1:2")
+        self.assertTrue(line.transport.disconnected or line.transport.aborting)
+        self.peers.via = {"127.0.0.1:3": "127.0.0.1:33"}
+        self.say("127.0.0.1:3", 0)
+        self.assertEqual(self.reactor.tcpClients[-1][:2], ("127.0.0.1", 33))
+        with self.assertLogs("lotuspick.transport.peers", "WARNING"):  # another answers at that place
+            self.dialled(greeted=False).dataReceived(framed(Hello("127.0.0.1:4")))
+
+    def test_one_that_does_not_say_who_it_is_is_let_go(self) -> None:
+        made, told = self.inbound(), self.inbound("127.0.0.1:2")
+        self.reactor.advance(peers.HELLO_S + 1)
+        self.assertTrue(made.transport.disconnected or made.transport.aborting)
+        self.assertFalse(told.transport.disconnected or told.transport.aborting)
+
     def test_what_no_broker_would_send_costs_its_connection(self) -> None:
-        spoilt = [framed(Digest(1)), framed(Hello("nowhere")), b"\x00\x00\x00\x01\xc1", (MOST_FRAME + 1).to_bytes(4, "big"),
-                  framed({"type": "unheard of"}), framed({"type": "ping", "number": "one"})]
+        spoilt = [numbered(1), framed(Hello("nowhere")), b"\x00\x00\x00\x01\xc1", (MOST_FRAME + 1).to_bytes(4, "big"),
+                  framed({"type": "unheard of"}), framed({"type": "n", "number": "one"}), framed(Hello("127.0.0.1:1"))]
         for each in spoilt:
             with self.subTest(each[:20]):
-                made = self.inbound()
-                if each is not spoilt[0]:
-                    made.dataReceived(framed(Hello("127.0.0.1:2")))
+                made = self.inbound("" if each in (spoilt[0], spoilt[1], spoilt[-1]) else "127.0.0.1:2")
                 with self.assertLogs("lotuspick.transport.peers", "WARNING"):
                     made.dataReceived(each)
                 self.assertTrue(made.transport.disconnected or made.transport.aborting)
@@ -133,7 +212,8 @@
     def test_a_newer_schema_is_understood(self) -> None:
         made = self.inbound()
         made.dataReceived(framed({"type": "hello", "address": "127.0.0.1:2", "version": 9, "more": [1]}))
-        made.dataReceived(framed({"type": "ack", "number": 3, "of": "b", "news": [], "later": {"x": 1}}))
+        made.dataReceived(framed({"type": "n", "number": 1, "more": 2, "message": {
+            "type": "ack", "number": 3, "of": "b", "news": [], "later": {"x": 1}}}))
         self.assertEqual(self.heard, [("127.0.0.1:2", Ack(3, "b"))])
 
     def test_datagrams_say_who_sent_them_and_are_bounded(self) -> None:
@@ -155,11 +235,17 @@
         self.assertEqual((len(Wire.sent), len(self.reactor.tcpClients)), (1, 1))
 
     def test_lines_that_carry_nothing_are_let_go(self) -> None:
-        self.peers.send("127.0.0.1:2", Digest(0), True)
+        self.say("127.0.0.1:2", 0)
         line = self.dialled()
         self.reactor.advance(peers.IDLE_S + 1)
         self.peers.sweep()
-        self.assertEqual((self.peers.lines, line.transport.disconnecting), ({}, True))
+        self.assertTrue(line.transport.disconnecting)
+        line.connectionLost(Failure(error.ConnectionDone()))
+        before = self.peers.lines["127.0.0.1:2"].run
+        self.peers.sweep()
+        self.assertEqual(self.peers.lines, {})
+        self.say("127.0.0.1:2", 0)  # its numbers begin anew, and it says so
+        self.assertNotEqual(self.peers.lines["127.0.0.1:2"].run, before)
 
 
 if __name__ == "__main__":
--- a/tests/test_seat_store.py
+++ b/tests/test_seat_store.py
@@ -13,7 +13,8 @@
 from scenario import ROOT
 
 from lotuspick.entitlement.ledger import Ledger, Record, State, Verdict
-from lotuspick.transport.seats import GroupCommit, SeatStore, StoreFault, read
+from lotuspick.transport.lasting import GroupCommit, StoreFault
+from lotuspick.transport.seats import SeatStore, read
 
 WRITER = """
 import os, signal, sys
@@ -82,11 +83,11 @@
     def test_a_spoilt_record_and_a_foreign_format_are_named(self) -> None:
         store = self.open()
         store.write([Record("s1")])
-        with store.env.begin(write=True, db=store._seats) as change:
+        with store.env.env.begin(write=True, db=store.env._table) as change:
             change.put(b"s1", change.get(b"s1")[:-1] + b"!")
         with self.assertRaisesRegex(StoreFault, "seat s1: the record is spoilt"):
             store.load()
-        with store.env.begin(write=True, db=store._meta) as change:
+        with store.env.env.begin(write=True, db=store.env._meta) as change:
             change.put(b"format", b"7")
         store.close()
         with self.assertRaisesRegex(StoreFault, "format 7, not 1"):
@@ -112,7 +113,7 @@
 
     def test_what_waits_goes_into_one_commit_and_each_hears_of_it(self) -> None:
         store, gate, heard = self.open(), threading.Event(), list[str]()
-        store.fault = lambda point: gate.wait(20) and None if point == "begin" else None
+        store.env.fault = lambda point: gate.wait(20) and None if point == "begin" else None
         group = GroupCommit(store)
         for at in range(300):
             group.submit(Record(f"s{at}", State.RESERVED), heard.append)
@@ -128,7 +129,7 @@
             if point == "put":
                 raise lmdb.DiskError("no space left") if hasattr(lmdb, "DiskError") else OSError(28, "No space left on device")
 
-        store.fault = fault
+        store.env.fault = fault
         group = GroupCommit(store)
         group.submit(Record("s1"), heard.append)
         group.close()
--- a/tests/test_seats_live.py
+++ b/tests/test_seats_live.py
@@ -27,7 +27,8 @@
 from lotuspick.program.config import SeatsConfig
 from lotuspick.program.entitled import Entitlement
 from lotuspick.transport.keys import KeyFolder
-from lotuspick.transport.seats import SeatStore, StoreFault
+from lotuspick.transport.lasting import StoreFault
+from lotuspick.transport.seats import SeatStore
 
 SMALL = {"sessions": 1_500, "rate": 250, "brokers": 4, "nodes": 12, "clients": 2, "kill_s": 2.5}
 SERVED = """
