--- a/lotuspick/lab/seats/trial.py
+++ b/lotuspick/lab/seats/trial.py
@@ -3,161 +3,62 @@
 
 from __future__ import annotations
 
-import http.server
 import json
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
+from lotuspick.lab.fleet.rig import Port, Rig, processor_s
 from lotuspick.lab.seats.audit import audit
 from lotuspick.lab.seats.nodes import FAULTS
 from lotuspick.transport.keys import KeyFolder
 
-STARTED_S = 60.0
-SETTINGS: dict[str, Any] = {
-    "Az": "a", "GroupSize": 1, "MachineTypes": ["box"], "PeriodUs": 10_000, "Discovery": "automatic",
-    "Categories": [{"Name": "clip", "Repeat": "pure", "TargetUs": 1_000_000, "Worth": 1.0},
-                   {"Name": "exam", "Repeat": "side_effect", "TargetUs": 1_000_000, "Worth": 2.0,
-                    "HardLimitUs": 3_000_000}],
-    "FamilyInfo": {"LevelKb": [1.0, 2.0, 4.0], "WorthByRung": [0.3, 0.6, 1.0], "WeightKb": 4e6, "PlacesByKind": [4_000],
-                   "ClassFloor": [0, 1]},
-    "Limits": {"AttemptsCap": 3, "DialTimeoutUs": 250_000, "ConnIdleUs": 30_000_000, "StreamsPerConn": 512,
-               "RetryAfter": True, "MaxRetryAfterUs": 2_000_000},
-    "Invariants": {"DrainGraceUs": 2_000_000},
-}
 
+class Fleet(Rig):
+    """Brokers with seats, an HTTP front, and clocks that can be set."""
 
-class Server(http.server.ThreadingHTTPServer):
-    """The coordinator's; brokers that are killed leave their polls."""
-
-    daemon_threads = True
-
-    def handle_error(self, *_: Any) -> None:
-        pass
-
-
-class Coordinator(http.server.BaseHTTPRequestHandler):
-    """Says that nothing has changed."""
-
-    protocol_version = "HTTP/1.1"
-
-    def log_message(self, *_: Any) -> None:
-        pass
-
-    def do_GET(self) -> None:
-        time.sleep(2.0)
-        body = b'{"index": 1, "updates": []}'
-        self.send_response(200)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-
-def free_port() -> int:
-    """A port on which a broker can listen again after it was killed: one outside the range from which the kernel takes
-    those of outgoing connections, which would hold it for a minute after their end."""
-    draw = random.SystemRandom()
-    while True:
-        port = draw.randrange(10_000, 32_000)
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
-
-
-class Fleet:
-    """All processes of one run; ``end`` leaves none behind."""
+    module = "lotuspick.lab.seats.broker"
 
     def __init__(self, folder: Path, told: dict[str, Any], seed: int) -> None:
-        self.folder, self.told, self.seed = folder, told, seed
-        self.processes: list[subprocess.Popen[str]] = []
-        self.brokers: dict[int, subprocess.Popen[str]] = {}
-        self.server = Server(("127.0.0.1", 0), Coordinator)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        KeyFolder(folder / "keys").make(int(time.time()) - 10, 600)
-        faults = FAULTS if told.get("faults", True) else {}
-        nodes = self.spawn("lotuspick.lab.seats.nodes", str(told["nodes"]), str(seed), str(folder / "ran.log"),
-                           json.dumps(faults), stdout=subprocess.PIPE)
-        assert nodes.stdout is not None
-        self.ports = json.loads(nodes.stdout.readline())
-        self.listens = [(free_port(), free_port()) for _ in range(told["brokers"])]
-        for at in range(told["brokers"]):
-            self.configure(at)
-            self.start(at)
+        self.told = told
+        self.faults = FAULTS if told.get("faults", True) else {}
+        self.http = [Port() for _ in range(told["brokers"])]
+        super().__init__(folder, told["brokers"], told["nodes"], seed)
+        self.listens = [(port.number, http.number) for port, http in zip(self.held, self.http)]
 
-    def spawn(self, module: str, *words: str, stdout: Any = subprocess.DEVNULL,
-              stderr: Any = None) -> subprocess.Popen[str]:
-        environment = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
-        made = subprocess.Popen([sys.executable, "-m", module, *words], stdout=stdout, stderr=stderr, text=True,
-                                env=environment)
-        self.processes.append(made)
-        return made
+    def prepare(self) -> None:
+        KeyFolder(self.folder / "keys").make(int(time.time()) - 10, 600)
 
     def configure(self, at: int) -> None:
-        servers = [{"id": f"s-{node}", "addr": f"127.0.0.1:{port}", "zone": "a", "kind": "box", "cell": node,
-                    "state": "in_service", "weight": 1, "started_ms": 0} for node, port in enumerate(self.ports)]
-        settings = {**SETTINGS, "FamilyInfo": {**SETTINGS["FamilyInfo"], "Cells": len(servers)}}
-        (self.folder / f"b{at}.json").write_text(json.dumps({
-            "name": f"n{at}", "listen": f"127.0.0.1:{self.listens[at][0]}", "seed": f"{self.seed * 100 + at:x}",
-            "settings": settings, "limits": {"cores": 1.0, "memory_mb": 2_048, "sockets": 4_096},
-            "coordinator": f"127.0.0.1:{self.server.server_address[1]}",
-            "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"version": 1, "full": True,
-                                                                         "servers": servers}}]}}), encoding="utf-8")
-        (self.folder / f"b{at}-hints.toml").write_text(f'enabled = true\nlisten = "127.0.0.1:{self.listens[at][1]}"\n')
+        super().configure(at)
+        (self.folder / f"b{at}-hints.toml").write_text(
+            f'enabled = true\nlisten = "127.0.0.1:{self.http[at].number}"\n')
         (self.folder / f"b{at}-seats.toml").write_text(
             f'enabled = {str(bool(self.told.get("seats", True))).lower()}\naudience = "site"\nkeys = "keys"\n'
             f'store = "store{at}"\nstore_mib = 2048\n')
 
-    def start(self, at: int) -> None:
-        files = [str(self.folder / f"b{at}{end}") for end in ("-clock", ".json", "-hints.toml", "-seats.toml")]
-        with (self.folder / f"b{at}.log").open("a") as log:
-            self.brokers[at] = self.spawn("lotuspick.lab.seats.broker", files[0], "serve", "--config", files[1],
-                                          "--hints", files[2], "--seats", files[3], stderr=log)
-        until = time.monotonic() + STARTED_S
-        while True:
-            try:
-                socket.create_connection(("127.0.0.1", self.listens[at][0]), 0.5).close()
-                return
-            except OSError:
-                if self.brokers[at].poll() is not None or time.monotonic() > until:
-                    raise RuntimeError(f"broker {at} did not start: "
-                                       + (self.folder / f"b{at}.log").read_text()[-800:]) from None
-                time.sleep(0.05)
+    def command(self, at: int) -> list[str]:
+        module, *rest = super().command(at)
+        return [module, str(self.folder / f"b{at}-clock"), *rest]
 
-    def kill(self, at: int) -> None:
-        self.brokers[at].kill()
-        self.brokers[at].wait()
+    def options(self, at: int) -> list[str]:
+        return ["--hints", str(self.folder / f"b{at}-hints.toml"), "--seats", str(self.folder / f"b{at}-seats.toml")]
 
     def step_clock(self, at: int, off_s: float) -> None:
         (self.folder / f"b{at}-clock").write_text(str(off_s))
         self.brokers[at].send_signal(signal.SIGUSR1)
 
     def end(self) -> None:
-        for process in self.processes:
-            if process.poll() is None:
-                process.terminate()
-        for process in self.processes:
-            try:
-                process.wait(20)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
-            if process.stdout is not None:
-                process.stdout.close()
-        self.server.shutdown()
-        self.server.server_close()
+        super().end()
+        for port in self.http:
+            port.held.close()
 
 
 def seats(told: dict[str, Any], arm: dict[str, Any], seed: int) -> tuple[dict[str, float], dict[str, list[float]]]:
@@ -212,12 +113,6 @@
     return {**row, "cpu_s": cpu_s}, samples
 
 
-def processor_s(pid: int) -> float:
-    """Processor time of a process so far, its threads included."""
-    words = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
-    return (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def judge(folder: Path, told: dict[str, Any], kills: int, stepped: int,
           took_s: float) -> tuple[dict[str, float], dict[str, list[float]]]:
     """Settle the ledgers by the command, twice and in another order, and audit what came out."""
--- a/lotuspick/lab/seats/viewers.py
+++ b/lotuspick/lab/seats/viewers.py
@@ -10,68 +10,15 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from lotuspick.entitlement.model import Seat
 from lotuspick.entitlement.tokens import sign
-from lotuspick.lab.rtsp import take
+from lotuspick.lab.rtsp import ANSWER_S, LOST, Answer, Rtsp
 from lotuspick.transport.keys import KeyFolder
 
-TRIES, ANSWER_S, LEFT_MS = 40, 6.0, 3_000
-Answer = tuple[int, str, int]
-"""Status (0: the connection was lost), reason, and milliseconds to stay away."""
-LOST: Answer = (0, "lost", 300)
-
-
-class Rtsp(asyncio.Protocol):
-    """One connection that many viewers share, as behind a portal."""
-
-    def __init__(self) -> None:
-        self.buffer = b""
-        self.waiting: dict[str, asyncio.Future[Answer]] = {}
-        self.cut: dict[str, Callable[[], None]] = {}
-        self.up = False
-
-    def connection_made(self, transport: Any) -> None:
-        self.transport, self.up = transport, True
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.up = False
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_result(LOST)
-        for ended in list(self.cut.values()):
-            ended()
-
-    def data_received(self, data: bytes) -> None:
-        messages, self.buffer = take(self.buffer + data)
-        for first, headers in messages:
-            session = headers.get("session", "")
-            if first.startswith("RTSP/1.0"):
-                future = self.waiting.get(f"{headers.get('cseq')} {session}")
-                if future is not None and not future.done():
-                    future.set_result((int(first[9:12]), first[13:].strip(), int(headers.get("p-gap-ms", "0"))))
-            elif session in self.cut:
-                self.cut[session]()
-
-    async def ask(self, method: str, cseq: str, session: str, headers: dict[str, str], body: str = "",
-                  address: str = "session") -> Answer:
-        if not self.up:
-            return LOST
-        lines = [f"{method} rtsp://media/{address} RTSP/1.0", f"CSeq: {cseq}", f"Session: {session}",
-                 *(f"{name}: {value}" for name, value in headers.items()), f"Content-Length: {len(body)}", "", body]
-        key = f"{cseq} {session}"
-        future = self.waiting[key] = asyncio.get_running_loop().create_future()
-        self.transport.write("\r\n".join(lines).encode("ascii"))
-        try:
-            return await asyncio.wait_for(future, ANSWER_S)
-        except TimeoutError:
-            return (0, "silent", 300)
-        finally:
-            del self.waiting[key]
-
+TRIES, LEFT_MS = 40, 3_000
 
 class Broker:
     """The way to one broker: a few connections, made again when they are lost."""
