Bury nobody on the word of others: an accuser needs its own doubt to have lasted

Cause: members.py, _judge measured the time of the doubt from the first accuser of all, so a watcher that had just fallen silent itself declared at once what another had wrongly said before.

Change: the time counts from the accuser's own accusation without a break; an accused one is pinged twice and by way of four.

--- a/lotuspick/membership/members.py
+++ b/lotuspick/membership/members.py
@@ -39,7 +39,7 @@
 from lotuspick.steps import Asked, Effect, Event, Fired, Heard, Lasting, Send, SetTimer, Started, Tell, Write
 
 PERIOD, LIFE = "period", "life"
-HELPERS = 2  # brokers asked to ping one that does not answer
+HELPERS = 2  # brokers asked to ping one that does not answer; twice as many once it is accused
 MOST_RELAYED = 256  # pings for others that are waited for
 REFUSED = 64  # names of peers whose messages were refused: counted, the oldest forgotten
 
@@ -100,7 +100,7 @@
         self._stale = False  # who is alive has changed since the rings were drawn
         self._heard: dict[str, int] = {}  # whom this broker watches, and the last sign of life of each
         self._doubts: dict[str, Doubt] = {}
-        self._accused: set[str] = set()  # by this broker
+        self._accused: dict[str, int] = {}  # by this broker, and since when
         self._deaf: dict[str, int] = {}  # who lately said to hear nothing of this broker, and when
         # What is to be told to others, by how often it was told, and how often each was.
         levels = 1 + self.rules.spread * MOST_RECORDS.bit_length()
@@ -240,7 +240,7 @@
         self.because[record.name] = by, why
         self._doubts.pop(record.name, None)  # of an earlier turn, or of one that is dead by now
         if record.name in self._accused:
-            self._accused.discard(record.name)
+            del self._accused[record.name]
             self.false_accusations += record.state is State.ALIVE
         self._tell_others(record)
         if before is None or (before.process, before.state, before.address) != (
@@ -304,8 +304,8 @@
                     if name not in self._doubts:
                         break
         self._heard = {name: self._heard.get(name, self._now) for name in subjects}
-        for name in self._accused - subjects.keys():
-            self._accused.discard(name)
+        for name in self._accused.keys() - subjects.keys():
+            del self._accused[name]
 
     def _watchers(self, name: str) -> set[str]:
         """Those before a member on the rings."""
@@ -335,12 +335,14 @@
             self._exchange()
 
     def _ping(self, name: str) -> None:
-        self._number += 1
-        self._send(self.records[name].address, Ping(self._number, self._news(name)))
+        accused = name in self._accused
+        for _ in range(1 + accused):  # what is at stake is worth more: each may be lost
+            self._number += 1
+            self._send(self.records[name].address, Ping(self._number, self._news(name)))
         if self._now - self._heard[name] >= self.rules.silent_us // 2:
             others = [each.address for each in self.alive()
                       if each.name not in (name, self._own_name) and each.name not in self._doubts]
-            for address in self._random.sample(others, min(HELPERS, len(others))):
+            for address in self._random.sample(others, min(HELPERS * (1 + accused), len(others))):
                 self._send(address, Relay(self._number, name, self._news()))
 
     @property
@@ -353,7 +355,7 @@
         for name in silent:  # whom it watches may change with each
             if name in self._heard:
                 self.accusations += name not in self._accused
-                self._accused.add(name)
+                self._accused.setdefault(name, self._now)
                 of = self.records[name]
                 self._doubted(Accusation(name, of.life, of.run, of.turn, self._own_name))
 
@@ -391,7 +393,7 @@
             if not doubt.by:
                 del self._doubts[name]
                 self._look()
-            elif name in self._accused and self._now - doubt.since_us >= rules.doubt_us:
+            elif self._now - self._accused.get(name, self._now) >= rules.doubt_us:
                 watchers = self._watchers(name)
                 if len(doubt.by.keys() & watchers | doubt.by.keys() & {self._own_name}) >= min(
                         rules.quorum, max(1, len(watchers))):
@@ -408,7 +410,7 @@
         dead = {each.address for each in self.records.values() if each.state is State.DEAD}
         for among in (live, sorted((dead | set(self.seeds)) - here)):
             if among:
-                self._send(self._random.choice(among), Digest(self._digest()), sure=True)
+                self._send(self._random.choice(among), Digest(self._digest()))  # the next makes a lost one good
 
     # ---- messages -----------------------------------------------------------------------------------------
 
@@ -462,7 +464,7 @@
             self._heard[name] = self._now
         doubt = self._doubts.get(name)
         if doubt is not None and name in self._accused:
-            self._accused.discard(name)
+            del self._accused[name]
             self.false_accusations += 1
             doubt.by.pop(self._own_name, None)
 
--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -319,7 +319,7 @@
             _address(via, peer)
         brokers = _number(told, "brokers", len(seeds), 1)
         watch = _get(told, "watch", dict, {})
-        times = {"period_ms": 250, "silent_ms": 700, "doubt_ms": 1_300, "settle_ms": 2_000}
+        times = {"period_ms": 300, "silent_ms": 700, "doubt_ms": 1_300, "settle_ms": 2_000}
         if unknown := sorted(set(watch) - set(times)):
             raise ConfigError(f"watch.{unknown[0]} is not a key of this file")
         us = {key.replace("_ms", "_us"): _number(watch, f"watch.{key}", default, 1) * 1_000
--- a/lotuspick/program/peers.py
+++ b/lotuspick/program/peers.py
@@ -45,7 +45,8 @@
         self.members = Members(told.watch)
         self.standings = Standings(told.standing)
         self.link = Peers(broker.reactor, told.listen[0], self._heard, told.via, draw.getrandbits(62))
-        self.driver = Driver(broker.reactor, self.members, self.commits.submit_all, self._send, self._told)
+        self.driver = Driver(broker.reactor, self.members, self.commits.submit_all, self._send, self._told,
+                             fired=self._follow)
         paid = frozenset(each.name for each in broker.config.settings.classes if each.effect == "paid")
         self.fleet = FleetGuide(self.standings, paid, awake_us, told.gap_us)
         self.guide: Guide | None = self.fleet
@@ -64,7 +65,6 @@
             self._port = ControlPort(self.answer).listen(self.broker.reactor, *told.control)
             control = "{0.host}:{0.port}".format(self._port.getHost())
         log.info("peers", extra={"address": address, "control": control, "seeds": ",".join(told.seeds)})
-        self._follow()
 
     # ---- between link, store and members ------------------------------------------------------------------
 
@@ -99,7 +99,7 @@
                 log.warning("stalled", extra={"away_ms": away_us // 1_000})
 
     def _follow(self) -> None:
-        """Twice a period the standing is looked at; a change is a line."""
+        """Each period the standing is looked at; a change is a line."""
         standing = self.standings.see(awake_us(), self.members)
         if standing is not self._said:
             log.info("standing", extra={
@@ -107,7 +107,6 @@
                 "reached": len(self.members.reached()), "known": len(self.members.records),
                 "missing": ",".join(sorted(self._missing())[:16])})
             self._said = standing
-        self._call = self.broker.reactor.callLater(self.told.watch.period_us / 2e6, self._follow)
 
     def _missing(self) -> set[str]:
         reached = {each.name for each in self.members.reached()}
--- a/lotuspick/transport/peers.py
+++ b/lotuspick/transport/peers.py
@@ -317,7 +317,8 @@
             return
         try:
             told = DATAGRAM.decode(datagram)
-            split(told.sender)
+            if told.sender not in self.peers.places:
+                split(told.sender)
         except (msgspec.DecodeError, ProtocolFault) as fault:
             self.peers.fault(str(addr[0]), str(fault))
             return
@@ -338,7 +339,7 @@
         self.counts: Counter[str] = Counter()
         self.closed = False
         self._faults: dict[str, str] = {}
-        self._places: dict[str, tuple[str, int]] = {}
+        self.places: dict[str, tuple[str, int]] = {}
         self._datagrams = Datagrams(self)
         self._ports: list[Any] = []
 
@@ -377,11 +378,11 @@
         return line is not None and line.send(message)
 
     def _place(self, peer: str) -> tuple[str, int]:
-        place = self._places.get(peer)
+        place = self.places.get(peer)
         if place is None:
-            if len(self._places) >= MOST_PEERS:
-                self._places.clear()
-            place = self._places[peer] = split(self.via.get(peer, peer))
+            if len(self.places) >= MOST_PEERS:
+                self.places.clear()
+            place = self.places[peer] = split(self.via.get(peer, peer))
         return place
 
     def gone(self, peer: str) -> None:
--- a/lotuspick/transport/steps.py
+++ b/lotuspick/transport/steps.py
@@ -42,12 +42,14 @@
 
 
 class Driver:
-    """Drives one machine. ``send`` carries a message out and ``tell`` takes its news; neither may step it by itself."""
+    """Drives one machine. ``send`` carries a message out and ``tell`` takes its news; neither may step it by itself.
+    ``fired`` is called after each timer's step."""
 
     def __init__(self, reactor: Reactor, machine: Machine, keep: Keep, send: Callable[[Send], object],
-                 tell: Callable[[Any], None], clock: Callable[[], int] = awake_us) -> None:
+                 tell: Callable[[Any], None], clock: Callable[[], int] = awake_us,
+                 fired: Callable[[], None] = lambda: None) -> None:
         self.reactor, self.machine, self.clock = reactor, machine, clock
-        self.keep, self.send, self.tell = keep, send, tell
+        self.keep, self.send, self.tell, self.fired = keep, send, tell, fired
         self.fault = ""
         """Why the disk does not take what is written; empty: it does."""
         self._outbox = Outbox()
@@ -140,3 +142,4 @@
             self._set(timer, due_us)
             return
         self._happens(Fired(timer))
+        self.fired()
