--- a/lotuspick/lab/fleet/relay.py
+++ b/lotuspick/lab/fleet/relay.py
@@ -117,8 +117,8 @@
             await asyncio.wait(pumps, return_when=asyncio.FIRST_EXCEPTION)
             for pump in pumps:
                 pump.cancel()
-        except OSError:
-            pass
+        except (OSError, asyncio.CancelledError):
+            pass  # over, or the rig ends
         finally:
             for each in (writer, onward):
                 if each is not None:
--- a/lotuspick/lab/fleet/trial.py
+++ b/lotuspick/lab/fleet/trial.py
@@ -70,8 +70,9 @@
         crashed = sum("Traceback" in made.log(at) for at in range(count))
     finally:
         made.end()
-    return {**outcomes(calls, hurt), "agree_s": took_s, "faults": float(len(faults)), "crashed": float(crashed)}, {
-        "agree_s": [took_s]}
+    return {**outcomes(calls, hurt), "agree_s": took_s,
+            "never_agreed": float(took_s >= NEVER_S), "faults": float(len(faults)),
+            "crashed": float(crashed)}, {"agree_s": [took_s]}
 
 
 def names(folder: Path, told: dict[str, Any], seed: int) -> Found:
