Do not close for a newcomer a viewer whose request waits unread

Cause: viewers.py, RtspFront.opened aborted an idle viewer though its next request lay unread in the socket, which is when listener and request become ready in one look of the reactor. tests/test_scenarios.py does just that with a broker that is stopped for a moment; it fails without the change.

Change: one of which something waits unread is not closed for a newcomer; others are, or the newcomer is.

--- a/lotuspick/transport/base.py
+++ b/lotuspick/transport/base.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import time
 from typing import Any
 
@@ -28,6 +29,15 @@
     return time.time()
 
 
+def readable(descriptor: int) -> bool:
+    """Whether something has come on a socket, its end included, that was not read yet."""
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def lost(reason: Failure) -> Ending:
     """How a connection ended that was up."""
     if reason.check(error.ConnectionDone):
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -16,7 +16,7 @@
 from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
 from lotuspick.routing.endings import Ending
 from lotuspick.routing.ports import Dropped, Inbound, Renew, Viewer, ViewerCame, ViewerLost
-from lotuspick.transport.base import Reactor, lost, now_us
+from lotuspick.transport.base import Reactor, lost, now_us, readable
 
 log = logging.getLogger(__name__)
 
@@ -81,6 +81,11 @@
         self.open = False
         self.transport.abortConnection()
 
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet. Guards against a request lost that crosses its connection's
+        close: it counts as taken once it is here. One that rests is not waited for, as it sends without end."""
+        return self._resting is None and readable(self.transport.fileno())
+
     def _stop(self, call: Any) -> Any:
         if call is not None and call.active():
             call.cancel()
@@ -219,8 +224,9 @@
 
     def opened(self, viewer: RtspViewer) -> None:
         if len(self.viewers) >= self.most:
-            # One without an open set-up may be closed; where there is none, the newcomer has to go.
-            idle = [each for each in self.spare(1 + self.most // SPARED_PART) if isinstance(each, RtspViewer)]
+            # One without an open set-up, of which nothing waits, may be closed; else the newcomer has to go.
+            idle = [each for each in self.spare(1 + self.most // SPARED_PART)
+                    if isinstance(each, RtspViewer) and not each.unread()]
             for each in idle or [viewer]:
                 each.drop(Ending.CROWDED)
             if not idle:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -392,6 +392,23 @@
             v49 expect 200
         """, limits={"sockets": 64})
 
+    def test_a_viewer_whose_request_waits_unread_is_not_closed_for_a_newcomer(self) -> None:
+        crowd = "\n".join(f"v{each} send OPTIONS\nv{each} expect 200" for each in range(10, 41))
+        self.play("""
+            v1 send OPTIONS
+            v1 expect 200
+        """ + crowd + """
+            b send STOP
+            v50 send OPTIONS
+            v1 send SETUP s1
+            b send CONT
+            e0 expect OPENED
+            e0 expect SETUP s1
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+            v10 expect CLOSED
+        """, limits={"sockets": 64})
+
 
 class Malformed(Scenario):
     def test_bad_framing_costs_the_connection_and_no_more(self) -> None:
