Count connections that are being closed as room for newcomers

Cause: viewers.py, RtspFront.opened counted a connection it had just aborted until the reactor told of its end, in the next look at the earliest, so each newcomer of one look closed seven more. Under load one look brings a hundred newcomers.

Change: those on their way out count as room, and may be a quarter more than the bound at most.

--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -24,6 +24,7 @@
 # saying nothing for so long at first: who has no request to make takes up a descriptor
 UNREAD_S = 5.0  # so does not reading what was written for so long
 FAULTS, REST_S = 3, 0.25  # malformed messages on one connection before each further one has it rest so long
+LEAVING_PART = 4  # as many more as this part may be on their way out at once
 SPARED_PART = 32  # the part of all connections that is closed at once to make room
 COUNT_S = 1.0  # connections closed are told together, so often
 
@@ -79,6 +80,8 @@
         """Close at once."""
         self.front.count(ending)
         self.open = False
+        if self in self.front.viewers:
+            self.front.leaving.add(self)
         self.transport.abortConnection()
 
     def unread(self) -> bool:
@@ -217,13 +220,19 @@
         self.reactor, self.post, self.ready, self.terms, self.renew = reactor, post, ready, terms, renew
         self.most, self.spare = most, spare
         self.viewers: dict[RtspViewer, None] = {}
+        self.leaving: set[RtspViewer] = set()  # of these, those that were closed and are not gone yet
         self.dropped: Counter[str] = Counter()
 
     def buildProtocol(self, addr: object) -> RtspViewer:
         return RtspViewer(self)
 
     def opened(self, viewer: RtspViewer) -> None:
-        if len(self.viewers) >= self.most:
+        if len(self.viewers) >= self.most + self.most // LEAVING_PART:
+            viewer.drop(Ending.CROWDED)
+            return
+        if len(self.viewers) - len(self.leaving) >= self.most:
+            # Many newcomers come in one look of the reactor, and those closed for the first are gone only after it:
+            # they count as room already, or each newcomer would cost as many again, up to those that many share.
             # One without an open set-up, of which nothing waits, may be closed; else the newcomer has to go.
             idle = [each for each in self.spare(1 + self.most // SPARED_PART)
                     if isinstance(each, RtspViewer) and not each.unread()]
@@ -253,6 +262,7 @@
         self.dropped.clear()
 
     def closed(self, viewer: RtspViewer, ending: Ending) -> None:
+        self.leaving.discard(viewer)
         if viewer in self.viewers:
             del self.viewers[viewer]
             log.debug("viewer closed", extra={"ending": ending.value})
