End a connection that is closed for a newcomer at once, and shared ones one a second

Cause, from the probe's lines: an aborted connection is closed in the reactor's next look, up to 200 ms later under load, and what its viewer sent meanwhile was lost (transport/viewers.py, drop); and newcomers of one look are not known to the loop yet, so once all others were closed its best to give up were those that many share (routing/loop.py, spare).

Change: the viewer is told of the end at once (shutdown), those of which something waits are passed over among four times as many, and a shared connection goes once a second at most; else the newcomer goes.

What is left: connections that asked OPTIONS and are closed a moment before they ask for more.

--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -124,6 +124,7 @@
         self.due: list[tuple[int, int, Callable[[int], Event | None]]] = []
         self.late: list[tuple[str, SessionRequest]] = []  # whose deadline has passed in this tick
         self.ticked_us, self.woken_us, self.timers = 0, 0, 0
+        self.shared_us = -FRESH_US  # when a connection that many share was last given up for a newcomer
         self.open_set_ups = 0
         self.turns: dict[type, Callable[[Any, int], list[Event]]] = {
             Asked: self._asked, Dropped: self._dropped, ViewerLost: self._viewer_lost,
@@ -150,7 +151,8 @@
         """The viewer connections that can best be closed to make room; none with a set-up open can. Guards
         against sessions that lose the way to their viewers: the connections that many share go last, after
         those that say nothing, those on which nothing stands, and those of viewers that asked once. Up to
-        ``most`` at once, shared ones singly: a crowd must not have all looked at for each newcomer."""
+        ``most`` at once, shared ones singly and one a second: a crowd must not have all looked at for each newcomer,
+        and many newcomers of one look, which are not known here yet, must not cost those that many share."""
         now = self.clock()
         asking = {item.viewer for item in self.inbox if isinstance(item, Asked)}
         ranked: list[tuple[int, int, int, Viewer]] = []
@@ -165,6 +167,10 @@
             else:
                 ranked.append((1 if seat.asked else 0, seat.asked, order, viewer))
         best = heapq.nsmallest(most, ranked, key=lambda each: each[:3])
+        if best and best[0][:2] > (2, FRESH_COUNTS):
+            if now - self.shared_us < FRESH_US:
+                return []
+            self.shared_us = now
         return [each[3] for at, each in enumerate(best) if not at or each[:2] <= (2, FRESH_COUNTS)]
 
     @property
--- a/lotuspick/transport/base.py
+++ b/lotuspick/transport/base.py
@@ -4,7 +4,9 @@
 
 import errno
 import select
+import socket
 import time
+from contextlib import suppress
 from typing import Any
 
 from twisted.internet import error
@@ -38,6 +40,13 @@
     return bool(poll.poll(0))
 
 
+def ended(connection: socket.socket) -> None:
+    """Tell the other side now that a connection is over: the reactor closes it in its next look at the earliest, and
+    what is sent meanwhile would be lost."""
+    with suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+
+
 def lost(reason: Failure) -> Ending:
     """How a connection ended that was up."""
     if reason.check(error.ConnectionDone):
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -16,7 +16,7 @@
 from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
 from lotuspick.routing.endings import Ending
 from lotuspick.routing.ports import Dropped, Inbound, Renew, Viewer, ViewerCame, ViewerLost
-from lotuspick.transport.base import Reactor, lost, now_us, readable
+from lotuspick.transport.base import Reactor, ended, lost, now_us, readable
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +26,7 @@
 FAULTS, REST_S = 3, 0.25  # malformed messages on one connection before each further one has it rest so long
 LEAVING_PART = 4  # as many more as this part may be on their way out at once
 SPARED_PART = 32  # the part of all connections that is closed at once to make room
+MORE = 4  # of so many times as many, since those of which something waits unread are passed over
 COUNT_S = 1.0  # connections closed are told together, so often
 
 
@@ -82,6 +83,7 @@
         self.open = False
         if self in self.front.viewers:
             self.front.leaving.add(self)
+        ended(self.transport.getHandle())
         self.transport.abortConnection()
 
     def unread(self) -> bool:
@@ -234,8 +236,9 @@
             # Many newcomers come in one look of the reactor, and those closed for the first are gone only after it:
             # they count as room already, or each newcomer would cost as many again, up to those that many share.
             # One without an open set-up, of which nothing waits, may be closed; else the newcomer has to go.
-            idle = [each for each in self.spare(1 + self.most // SPARED_PART)
-                    if isinstance(each, RtspViewer) and not each.unread()]
+            most = 1 + self.most // SPARED_PART
+            idle = [each for each in self.spare(MORE * most)
+                    if isinstance(each, RtspViewer) and not each.unread()][:most]
             for each in idle or [viewer]:
                 each.drop(Ending.CROWDED)
             if not idle:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -12,7 +12,10 @@
 from helpers import request
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet import error
 from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
 from lotuspick.interface import NEVER_RAN, Refuse, ServerEntry, ServerList, SessionPlaying, SessionRequest
 from lotuspick.protocol import cmcd, cmsd, coordinator, edge, nodes, rtsp
@@ -30,6 +33,7 @@
     ViewerCame,
 )
 from lotuspick.transport.edges import EdgeConnection, EdgeLimits, EdgeLink, EdgePool, Queued, Sent
+from lotuspick.transport.viewers import RtspFront, RtspViewer
 
 ID = "9b1f03aa5c7e2d41"
 TERMS = rtsp.Terms(frozenset({"paid"}), positions=12, rungs=5)
@@ -235,6 +239,7 @@
                 made.post(Asked(SessionPlaying(**asdict(request(f"{id(viewer)}-{number}")), server="s0"), viewer=viewer))
         made.tick()
         self.assertEqual(made.spare(8), shared[:1])
+        self.assertEqual(made.spare(8), [], "one a second")
         for viewer in crowd:
             made.post(ViewerCame(viewer))
         made.tick()
@@ -243,6 +248,39 @@
         self.assertEqual(made.spare(8), crowd[1:9])
 
 
+    def test_those_that_are_being_closed_are_room_for_all_newcomers_of_one_look(self) -> None:
+        class Pipe(StringTransport):
+            shut = False
+
+            def setTcpNoDelay(self, on: bool) -> None:
+                pass
+
+            def fileno(self) -> int:
+                return -1
+
+            def getHandle(self) -> Any:
+                return Mock(shutdown=lambda how: setattr(self, "shut", True))
+
+            def abortConnection(self) -> None:
+                """The reactor tells of the end in its next look."""
+
+        def come() -> RtspViewer:
+            viewer = made.buildProtocol(None)
+            viewer.makeConnection(Pipe())
+            return viewer
+
+        made = RtspFront(Clock(), lambda item: None, lambda: True, Mock(), 64,
+                         lambda most: [each for each in made.viewers if each.open][:most])
+        before = [come() for _ in range(64)]
+        after = [come() for _ in range(3)]
+        closed = [each for each in before if not each.open]
+        self.assertEqual(len(closed), 3, "three for the first, and none for those after it")
+        self.assertTrue(all(each.transport.shut for each in closed), "their viewers hear of it at once")
+        for each in closed:
+            each.connectionLost(Failure(error.ConnectionAborted()))
+        self.assertEqual((len(made.viewers), made.leaving, [each.open for each in after]), (64, set(), [True] * 3))
+
+
 class EdgeLinks(unittest.TestCase):
     """A link without a socket, on a clock of the test's."""
 
