--- a/lotuspick/lab/fleet/trial.py
+++ b/lotuspick/lab/fleet/trial.py
@@ -76,8 +76,8 @@
 
 
 def names(folder: Path, told: dict[str, Any], seed: int) -> Found:
-    """A process comes under a name that another has, with the ways to that one cut or not: for how long both ran paid
-    set-ups, by what the nodes recorded."""
+    """A process comes under a name that another has, with the ways to that one cut or not: for how long both served
+    paid set-ups, from the first answer of the newcomer to the last of the other, as their viewers saw them."""
     count = int(told["brokers"])
     made = Fleet(folder, count + 1, 6, seed, names={count: "n1"}, later=1)
     try:
@@ -91,7 +91,7 @@
         ran = len(made.ran())
         made.until(lambda: len(made.ran()) > ran + 200, "set-ups run")
         calls = made.called()
-        paid = {at: [call.asked_s for call in calls if call.broker == at and call.paid and call.status == 200]
+        paid = {at: [call.asked_s + call.took_ms / 1_000 for call in calls if call.broker == at and call.paid and call.status == 200]
                 for at in (1, count)}
         crashed = sum("Traceback" in made.log(at) for at in range(count + 1))
     finally:
