--- a/lotuspick/lab/fleet/trial.py
+++ b/lotuspick/lab/fleet/trial.py
@@ -91,7 +91,8 @@
         ran = len(made.ran())
         made.until(lambda: len(made.ran()) > ran + 200, "set-ups run")
         calls = made.called()
-        paid = {at: [call.asked_s + call.took_ms / 1_000 for call in calls if call.broker == at and call.paid and call.status == 200]
+        paid = {at: [call.asked_s + call.took_ms / 1_000 for call in calls
+                     if call.broker == at and call.paid and call.status == 200]
                 for at in (1, count)}
         crashed = sum("Traceback" in made.log(at) for at in range(count + 1))
     finally:
