Ask again for a malformed update of the server list before it is passed over

Seen by reading transport/coordinator.py (_read): an update that came spoilt once was passed over at once and never told again, so a drain in it was never heard of; an answer over 64 KiB, which the list of some hundred servers is, was a fault each time, for ever (protocol/faults.py); and a coordinator that answers at once with nothing was asked in a tight loop.

Change: the same question goes out up to three times, a tenth of a second apart; an answer may hold 1 MiB; what came early and told nothing is followed by a pause. tests/test_feed.py asks for that pause where its coordinator answers without waiting.

--- a/lotuspick/protocol/faults.py
+++ b/lotuspick/protocol/faults.py
@@ -4,8 +4,8 @@
 
 MOST_BYTES = 16 * 1024
 """No message of any protocol here holds more."""
-MOST_ANSWER = 4 * MOST_BYTES
-"""Nor does an answer over HTTP hold more: the list of a large fleet is longer than a message."""
+MOST_ANSWER = 64 * MOST_BYTES
+"""Nor does an answer over HTTP hold more: the list of some thousand servers is longer than a message."""
 
 
 class ProtocolFault(Exception):
--- a/lotuspick/transport/coordinator.py
+++ b/lotuspick/transport/coordinator.py
@@ -24,6 +24,7 @@
 WAIT_MS = 1_000  # how long an answer may take that has nothing to tell; short, so that silence shows soon
 GRACE_S = 0.75  # an answer later than the wait by this has been lost with its connection
 AGAIN_S = 0.1  # pause after a failure, so that a coordinator that refuses is not asked in a tight loop
+TRIES = 3  # so often a malformed update is asked for before it is passed over: it may have been spoilt on its way
 
 
 class Link(protocol.Protocol):
@@ -107,6 +108,8 @@
         self.asked: Deferred[bytes] | None = None
         self.link: Link | None = None
         self.kept = False  # whether the last question went out on a connection that was open already
+        self.spoilt = 0  # answers in a row in which an update was malformed
+        self.asked_s = 0.0
 
     def move(self, address: str) -> None:
         """Follow another coordinator from the same index on. Guards against a wait at the old one that tells
@@ -121,7 +124,7 @@
 
     def poll(self) -> None:
         """Ask for what is later than the last index; never stops."""
-        self.moved = False
+        self.moved, self.asked_s = False, self.reactor.seconds()
         self.kept = self.link is not None and self.link.up
         if self.link is not None and self.link.up:
             asked = self._ask(self.link)
@@ -140,15 +143,21 @@
 
     def _read(self, body: bytes) -> None:
         answer = wire.parse(body, self.index)
+        self.spoilt = self.spoilt + 1 if answer.faults else 0
+        if 0 < self.spoilt < TRIES:
+            # Guards against a drain that is never heard of: passed over, what the update told is not told again.
+            raise ProtocolFault(answer.faults[0])
         for fault in answer.faults:
             log.error("malformed update passed over", extra={"fault": fault})
         for change in answer.changes:
             self.tell(change)
-        self.index = max(self.index, answer.last)
+        self.spoilt, before, self.index = 0, self.index, max(self.index, answer.last)
         if self.failing:
             log.info("coordinator answers again", extra={"index": self.index})
             self.failing = False
-        self.reactor.callLater(0, self.poll)
+        # Guards against a tight loop with a coordinator that does not wait though it has nothing to tell.
+        early = self.index == before and self.reactor.seconds() - self.asked_s < AGAIN_S
+        self.reactor.callLater(AGAIN_S if early else 0, self.poll)
 
     def _failed(self, reason: Failure) -> None:
         if self.kept and reason.check(error.ConnectionDone, error.ConnectionLost):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,13 +5,14 @@
 import json
 import unittest
 from typing import Any
+from unittest.mock import Mock
 
 from twisted.internet import error
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from lotuspick.protocol.faults import MOST_ANSWER
-from lotuspick.transport.coordinator import AGAIN_S, GRACE_S, WAIT_MS, Feed
+from lotuspick.transport.coordinator import AGAIN_S, GRACE_S, TRIES, WAIT_MS, Feed
 
 OK = b"HTTP/1.1 200 OK\r\n"
 
@@ -20,6 +21,14 @@
     return json.dumps({"index": index, "updates": [], "pad": "x" * size}).encode()
 
 
+def update(index: int, **fields: Any) -> bytes:
+    """One change of one server, of which ``fields`` replace what is good."""
+    server = {"id": "s-1", "addr": "127.0.0.1:1", "zone": "z", "kind": "k", "cell": 0, "state": "in_service", "weight": 1,
+              "started_ms": 0, **fields}
+    return json.dumps({"index": index, "updates": [
+        {"index": index, "endpoints": {"version": 1, "full": False, "servers": [server]}}]}).encode()
+
+
 def whole(body: bytes, head: bytes = OK) -> bytes:
     return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
 
@@ -94,9 +103,48 @@
                 link.dataReceived(whole(news(0)))
                 self.assertFalse(self.feed.failing)
                 self.lose(link)
-                self.reactor.advance(0)
+                self.reactor.advance(AGAIN_S)  # it told nothing, and at once
         self.assertEqual(self.feed.index, 0)
 
+    def test_an_update_that_came_spoilt_is_asked_for_again_and_passed_over_only_where_it_stays_so(self) -> None:
+        """Guards against a drain that is never heard of: what is passed over is not told again."""
+        told: list[Any] = []
+        self.feed.tell = told.append
+        link = self.connect()
+        for _ in range(TRIES - 1):
+            self.asked(link, 0)
+            link.dataReceived(whole(update(1, state="\x00")))
+            self.assertEqual((self.feed.index, told), (0, []))
+            self.reactor.advance(AGAIN_S)
+        self.asked(link, 0)
+        link.dataReceived(whole(update(1, state="terminating")))
+        self.assertEqual((self.feed.index, [change.news.servers[0].state for change in told]), (1, ["draining"]))
+        self.reactor.advance(0)
+        for _ in range(TRIES):  # counted anew, and the last of them is not waited for any more
+            self.asked(link, 1)
+            link.dataReceived(whole(update(2, state="\x00")))
+            self.reactor.advance(AGAIN_S)
+        self.assertEqual((self.feed.index, len(told)), (2, 1))
+
+    def test_a_list_of_thousands_of_servers_is_no_fault(self) -> None:
+        link = self.connect()
+        link.dataReceived(whole(news(1, 200 * 4_000)))
+        self.assertEqual((self.feed.index, self.feed.failing), (1, False))
+
+    def test_a_coordinator_that_does_not_wait_is_not_asked_in_a_tight_loop(self) -> None:
+        link = self.connect()
+        for _ in range(3):
+            self.asked(link, 0)
+            link.dataReceived(whole(news(0)))
+            self.reactor.advance(AGAIN_S / 2)
+            self.assertEqual(link.transport.value(), b"")
+            self.reactor.advance(AGAIN_S)
+        self.asked(link, 0)
+        self.reactor.advance(WAIT_MS / 1_000)  # one that did wait is asked again at once
+        link.dataReceived(whole(news(0)))
+        self.reactor.advance(0)
+        self.asked(link, 0)
+
     def test_silence_ends_a_wait_and_its_connection(self) -> None:
         link = self.connect()
         self.reactor.advance(WAIT_MS / 1_000 + GRACE_S)
@@ -107,6 +155,48 @@
         self.assertEqual(self.feed.index, 0)
         self.asked(self.connect(), 0)
 
+    def test_a_watch_that_falls_silent_in_the_middle_of_its_answer_is_replaced(self) -> None:
+        link = self.connect()
+        link.dataReceived(whole(news(5))[:40])
+        self.reactor.advance(WAIT_MS / 1_000 + GRACE_S)
+        self.reactor.advance(AGAIN_S)
+        second = self.connect()
+        self.asked(second, 0)
+        second.dataReceived(whole(news(4)))
+        link.dataReceived(whole(news(5))[40:])  # the old watch's answer, after the new one's
+        self.assertEqual((self.feed.index, self.feed.failing), (4, False))
+        self.reactor.advance(0)
+        self.asked(second, 4)
+        self.assertEqual(len(self.reactor.tcpClients), 2)
+
+    def test_a_watch_whose_connection_never_comes_up_is_dialled_again(self) -> None:
+        *_, (_, _, factory, patience, _) = self.reactor.tcpClients
+        self.assertLessEqual(patience, GRACE_S)
+        factory.clientConnectionFailed(Mock(), Failure(error.TimeoutError()))
+        self.assertTrue(self.feed.failing)
+        self.reactor.advance(AGAIN_S)
+        self.assertEqual(len(self.reactor.tcpClients), 2)
+        self.asked(self.connect(), 0)
+
+    def test_a_move_while_a_dial_is_on_its_way_or_a_failure_is_waited_out_follows_the_new_one_alone(self) -> None:
+        self.feed.move("127.0.0.1:8")  # while the first dial is out
+        self.reactor.advance(0)
+        self.assertEqual([port for _, port, *_ in self.reactor.tcpClients], [7, 8])
+        link = self.connect()
+        self.lose(link, error.ConnectionLost)
+        self.feed.move("127.0.0.1:9")  # while the pause after a failure lasts
+        self.reactor.advance(AGAIN_S)
+        self.assertEqual([port for _, port, *_ in self.reactor.tcpClients], [7, 8, 9])
+        link = self.connect()
+        self.asked(link, 0)
+        link.dataReceived(whole(news(1)))
+        self.feed.move("127.0.0.1:6")  # between an answer and the next question
+        self.reactor.advance(0)
+        self.assertEqual([port for _, port, *_ in self.reactor.tcpClients], [7, 8, 9, 6])
+        self.asked(self.connect(), 1)
+        self.reactor.advance(AGAIN_S)
+        self.assertEqual(len(self.reactor.tcpClients), 4, "one watch at a time")
+
     def test_a_move_gives_up_the_wait(self) -> None:
         link = self.connect()
         self.feed.move("127.0.0.1:8")
