Have the scenarios' resets be resets: what read a connection kept it open

Seen: after `e0 close reset` the broker heard nothing for seconds. Probe: a socket closed in Python stays open for as long as a file made of it does, and in the kernel for as long as a thread waits in recv on it. So neither `close reset` nor `close all` reset anything (tests/scenario.py); their scenarios passed by the later checks of silence.

Change: the reader is let go first, then the socket is closed with no time to linger, so that its peer hears RST at once. Viewers can reset too.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,11 +5,14 @@
 ``e0`` the edge server that holds the titles of cell 0, ``n0`` the same as an HTTP media node, ``c`` the
 coordinator, ``b`` the broker itself. Words are a kind, a session (``s1``) and ``name=value`` fields; an
 expectation names the fields that matter (``name=~part``: this is in it; ``name=+``: a number above 0). What is expected must be the next thing that the actor hears; ``expect
-NOTHING`` looks for a moment that it hears none. ``send RAW`` takes a Python bytes literal.
+NOTHING`` looks for a moment that it hears none. ``send RAW`` takes a Python bytes literal. Connections ``close`` in
+order, or with ``reset``, as when a process dies. ``b send STOP`` holds the broker up and ``b send CONT`` lets it go on: what
+happens in between has all come before it looks at any of it.
 """
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import http.server
 import json
@@ -67,6 +70,15 @@
     return wanted[1:] in value if wanted.startswith("~") else value == wanted
 
 
+def reset(connection: socket.socket, reader: threading.Thread) -> None:
+    """Close a connection with a reset. Whoever reads it is let go first: the kernel keeps it open for as long."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    with contextlib.suppress(OSError):  # its other side was faster
+        connection.shutdown(socket.SHUT_RD)
+    reader.join(PATIENCE)
+    connection.close()
+
+
 class Actor:
     """Hears things on threads of its own and keeps them until they are expected."""
 
@@ -74,14 +86,16 @@
         self.world, self.label = world, label
         self.heard: queue.Queue[Said] = queue.Queue()
 
-    def thread(self, work: Callable[..., None], *given: Any) -> None:
+    def thread(self, work: Callable[..., None], *given: Any) -> threading.Thread:
         def guarded() -> None:
             try:
                 work(*given)
             except (OSError, ValueError, http.client.HTTPException) as error:
                 self.lost(type(error).__name__)
 
-        threading.Thread(target=guarded, daemon=True).start()
+        thread = threading.Thread(target=guarded, daemon=True)
+        thread.start()
+        return thread
 
     def lost(self, why: str) -> None:
         self.heard.put(("CLOSED", "", {"why": why}))
@@ -108,9 +122,13 @@
         super().__init__(world, label)
         self.socket = socket.create_connection(world.listen, timeout=PATIENCE)
         self.socket.settimeout(None)
-        self.thread(self.read, self.socket.makefile("rb"))
+        self.reader = self.thread(self.read)
+
+    def read(self) -> None:
+        with self.socket.makefile("rb") as stream:
+            self.hear(stream)
 
-    def read(self, stream: Any) -> None:
+    def hear(self, stream: Any) -> None:
         while True:
             first = stream.readline().decode().split(" ", 2)
             if first == [""]:
@@ -143,7 +161,10 @@
                  f"Content-Length: {len(body)}", "", body]
         self.socket.sendall("\r\n".join(lines).encode())
 
-    def close(self) -> None:
+    def close(self, how: str = "") -> None:
+        if how == "reset":
+            reset(self.socket, self.reader)
+            return
         self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
 
@@ -169,6 +190,7 @@
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.opened: queue.Queue[None] = queue.Queue()  # apart: connections race with what is said on others
         self.connections: list[socket.socket] = []
+        self.readers: dict[socket.socket, threading.Thread] = {}
         self.fillers: list[socket.socket] = []
         if state == "refused":
             self.listener.close()
@@ -192,9 +214,9 @@
     def accept(self) -> None:
         while True:
             connection, _ = self.listener.accept()
+            self.readers[connection] = self.thread(self.read, connection)
             self.connections.append(connection)
             self.opened.put(None)
-            self.thread(self.read, connection.makefile("rb"))
 
     def expect(self, kind: str, session: str, fields: dict[str, str]) -> None:
         if kind != "OPENED":
@@ -205,7 +227,11 @@
         except queue.Empty:
             raise AssertionError(f"{self.label} got no connection") from None
 
-    def read(self, stream: Any) -> None:
+    def read(self, connection: socket.socket) -> None:
+        with connection.makefile("rb") as stream:
+            self.hear(stream)
+
+    def hear(self, stream: Any) -> None:
         while head := stream.read(2):
             frame = stream.read(struct.unpack(">H", head)[0])
             fields, at = {}, 9
@@ -242,15 +268,14 @@
             self.listener.bind(address)
             self.fall_silent()
             return
-        if how in ("reset", "all"):
-            for connection in self.connections:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         if how == "all":
             self.listener.shutdown(socket.SHUT_RDWR)
             self.listener.close()
         for connection in self.connections:
-            if how not in ("reset", "all"):
-                connection.shutdown(socket.SHUT_RDWR)
+            if how in ("reset", "all"):
+                reset(connection, self.readers.pop(connection))
+                continue
+            connection.shutdown(socket.SHUT_RDWR)
             connection.close()
         self.connections = []
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -202,6 +202,7 @@
         self.play(PLAYING + """
             e0 wait 1.1
             e0 close reset
+            b expect LINE ending=reset
             e0 expect OPENED
             v1 expect NOTHING
             v1 send SETUP s2 kind=exam
