Tie every late word of an edge server to its attempt and its connection's address

Found by reading transport/edges.py and routing/loop.py for two events that cross; each seen with real connections: - an id gone from the list and back under another address kept its old connection (`move` compared with the address that the list had just taken away), and its next set-ups went to the old place; - a dial to an old address that failed, or was refused, failed what waited for the new one, or cut all that stands there (`_not_up` did not know what it had dialled); a refusal from one told to leave, which talks on, did the same; - what waited for a connection counted from when it was queued (`_roster`), so that news of a start cut what was written to the new process; - of set-ups taken back only the last server was kept (`given_up` by session), so that the late answer of an earlier one stood for nobody; and a viewer that came again under the same name, after it had lost its connection, had a paid session set up twice; - an answer in the same tick as, and ahead of, the word that its viewer had left stood for nobody; - a connection closed as idle whose peer does not read was never closed, was not counted as a descriptor, and its timer outlived it; set-ups that wait for a connection were not counted against what it may carry.

Change: a connection knows its own address, a dial its own; `Unsettled` alone keeps what was taken back, by session and server, and no request is taken under such a name until it is settled; AttemptWritten tells when a queued attempt left; all open sockets are counted by the pool, and a connection's one closing timer ends with it.

--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -40,6 +40,7 @@
 from lotuspick.routing.ports import (
     Asked,
     AttemptOver,
+    AttemptWritten,
     Dismissed,
     Dropped,
     EdgeAnswered,
@@ -57,12 +58,13 @@
     ViewerCame,
     ViewerLost,
 )
+from lotuspick.routing.unsettled import Unsettled
 
 log = logging.getLogger(__name__)
 
 MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
 OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
-GIVEN_UP_US = 10_000_000  # an answer to a set-up that was given up may come so late
+UNSETTLED_US = 10_000_000  # an answer to a set-up that was given up may come so late
 FRESH_US = 1_000_000  # a connection so new may be about to ask ...
 FRESH_COUNTS = 3  # ... and goes after those of viewers that asked once, but before those that many share
 SOON = 4  # part of a period
@@ -86,6 +88,7 @@
     attempt: int = -1
     rung: int = 0
     sent_us: int = 0
+    written_us: int = 0  # later where a connection had to come up first
     out: bool = False  # an attempt is out
     stands: bool = False
 
@@ -120,7 +123,7 @@
         self.viewers: dict[Viewer, Seat] = {}  # connections on which a release can go out, last to ask last
         self.by_viewer: dict[Viewer, set[str]] = {}
         self.owed: deque[tuple[int, str, Ending]] = deque()  # releases that found no viewer connection
-        self.given_up: dict[str, tuple[int, str]] = {}  # set-ups taken back after they left: when, and where
+        self.unsettled = Unsettled()  # attempts taken back after they left
         self.due: list[tuple[int, int, Callable[[int], Event | None]]] = []
         self.late: list[tuple[str, SessionRequest]] = []  # whose deadline has passed in this tick
         self.ticked_us, self.woken_us, self.timers = 0, 0, 0
@@ -132,7 +135,7 @@
             EdgeNoted: self._noted, AttemptOver: self._attempt_over, EdgeDown: self._edge_down,
             Roster: self._roster, Hinted: lambda item, now: [item.hint],
             Tenants: lambda item, now: [item.news], Dismissed: self._dismissed,
-            Settled: lambda item, now: [GuideNews()],
+            Settled: lambda item, now: [GuideNews()], AttemptWritten: self._written,
         }
 
     # ---- inbox and tick -----------------------------------------------------------------------------------
@@ -193,8 +196,7 @@
             event = heapq.heappop(self.due)[2](now)
             if event is not None:
                 events.append(event)
-        while self.given_up and next(iter(self.given_up.values()))[0] < now - GIVEN_UP_US:
-            del self.given_up[next(iter(self.given_up))]
+        self.unsettled.forget(now - UNSETTLED_US)
         while self.owed and self.owed[0][0] <= now:
             log.warning("release never sent", extra={"session": self.owed.popleft()[1]})
         if events or self.late:
@@ -265,9 +267,12 @@
                 held.viewer = item.viewer
                 self._seat(session, held)
                 return []
-        if held is not None or request.cls not in self.classes:
+        # Guards against a paid set-up that goes out twice: its viewer left, or lost its connection, and comes again
+        # under the same name while the attempt made for it may still run.
+        used = held is not None or session in self.unsettled
+        if used or request.cls not in self.classes:
             self._say(item.viewer, lambda viewer: viewer.failed(
-                session, "id in use" if held is not None else f"unknown class {request.cls}"))
+                session, "id in use" if used else f"unknown class {request.cls}"))
             return []
         if self.open_set_ups >= MOST_OPEN:
             self._say(item.viewer, lambda viewer: viewer.refused(session, 1_000))
@@ -286,7 +291,7 @@
                      now: int) -> list[Event]:
         if held is not None or request.cls not in self.classes:
             return []
-        entry = Entry(request, viewer=viewer, edge=request.server, attempt=0, sent_us=now, stands=True)
+        entry = Entry(request, viewer=viewer, edge=request.server, attempt=0, sent_us=now, written_us=now, stands=True)
         self._put(request.session, entry)
         self._seat(request.session, entry)
         self.edges.watch(request.server)
@@ -355,15 +360,19 @@
     # ---- from edge servers --------------------------------------------------------------------------------
 
     def _answered(self, item: EdgeAnswered, now: int) -> list[Event]:
-        entry = self.table.get(item.session)
+        entry, told = self.table.get(item.session), list[Event]()
+        if (entry is not None and entry.edge == item.edge and entry.out
+                and entry.viewer is not None and not entry.viewer.open):
+            # Its viewer left, which is not told yet. Guards against a session that stands for nobody.
+            told, entry = self._give_up(item.session, entry), None
         if entry is None or entry.edge != item.edge or not entry.out:
             # Given up while the answer was on its way: nothing may be left standing. Guards against a release
             # that cuts what stands rightly: a second copy of an answer, and one to an id that was never asked
             # for there, are dropped.
-            if self.given_up.pop(item.session, (0, ""))[1] == item.edge:
+            if self.unsettled.settle(item.session, item.edge):
                 self.edges.release(item.edge, item.session, Ending.REVOKED)
-                return [Proof(item.session, item.edge, True)]
-            return []
+                told.append(Proof(item.session, item.edge, True))
+            return told
         entry.out, entry.stands = False, True
         self.open_set_ups -= 1
         self._say(entry.viewer, lambda viewer: viewer.served(item.session, item.description))
@@ -375,9 +384,8 @@
         if entry is None or entry.edge != item.edge or not (entry.out or entry.stands):
             # Its end is known already; the load that comes with it is news all the same, and so is proof.
             told: list[Event] = []
-            if (entry is None and self.given_up.get(item.session, (0, ""))[1] == item.edge
-                    and OUTCOMES[item.before] in NEVER_RAN):
-                del self.given_up[item.session]
+            if (entry is None and OUTCOMES[item.before] in NEVER_RAN
+                    and self.unsettled.settle(item.session, item.edge)):
                 told.append(Proof(item.session, item.edge, False))
             if item.report:
                 told.append(Ended(item.session, -1, item.edge, "unsent", True, 0, item.report))
@@ -389,6 +397,12 @@
     def _noted(self, item: EdgeNoted, now: int) -> list[Event]:
         return [Note(item.session, item.edge, item.topic, item.value)]
 
+    def _written(self, item: AttemptWritten, now: int) -> list[Event]:
+        entry = self.table.get(item.session)
+        if entry is not None and entry.edge == item.edge and entry.out:
+            entry.written_us = max(entry.written_us, item.at_us)
+        return []
+
     def _attempt_over(self, item: AttemptOver, now: int) -> list[Event]:
         entry = self.table.get(item.session)
         if entry is None or entry.edge != item.edge or not entry.out:
@@ -410,7 +424,7 @@
         """End what stands at an edge server since before a time; attempts are reported one by one."""
         there = sorted(self.by_edge.get(edge, ())) if before_us else []
         return [self._over(session, entry, ending, now) for session in there
-                if (entry := self.table[session]).stands and entry.sent_us < before_us]
+                if (entry := self.table[session]).stands and entry.written_us < before_us]
 
     # ---- endings ------------------------------------------------------------------------------------------
 
@@ -452,7 +466,7 @@
         if self.edges.give_up(entry.edge, session):
             ending = Ending.UNSENT  # it never left the queue
         else:
-            self.given_up[session] = (self.ticked_us, entry.edge)
+            self.unsettled.add(session, entry.edge, self.ticked_us)
         event = self._tell(session, entry, ending, final, self.clock())
         entry.out = False
         self._leave(session, entry)
@@ -528,7 +542,7 @@
     def _send(self, action: Send, entry: Entry, now: int) -> None:
         session, request = action.session, entry.request
         entry.attempt += 1
-        entry.edge, entry.out, entry.sent_us = action.server, True, now
+        entry.edge, entry.out, entry.sent_us, entry.written_us = action.server, True, now, now
         self._put(session, entry)
         left_us = request.deadline_us - now
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
--- a/lotuspick/routing/ports.py
+++ b/lotuspick/routing/ports.py
@@ -161,6 +161,15 @@
     ending: Ending
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptWritten:
+    """An attempt that waited for a connection has left."""
+
+    edge: str
+    session: str
+    at_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Roster:
     """News of the server list."""
@@ -196,4 +205,4 @@
 
 
 Inbound = (Asked | Dropped | ViewerLost | ViewerCame | EdgeAnswered | EdgeReleased | EdgeNoted | AttemptOver
-           | EdgeDown | Roster | Hinted | Tenants | Dismissed | Settled)
+           | AttemptWritten | EdgeDown | Roster | Hinted | Tenants | Dismissed | Settled)
--- a/lotuspick/transport/edges.py
+++ b/lotuspick/transport/edges.py
@@ -18,8 +18,8 @@
 from lotuspick.protocol import edge as wire
 from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
 from lotuspick.routing.endings import OUTCOMES, Ending
-from lotuspick.routing.ports import AttemptOver, EdgeDown, EdgeReleased, Inbound, SetUp
-from lotuspick.transport.base import Reactor, dial_failed, lost
+from lotuspick.routing.ports import AttemptOver, AttemptWritten, EdgeDown, EdgeReleased, Inbound, SetUp
+from lotuspick.transport.base import Reactor, dial_failed, lost, now_us
 
 log = logging.getLogger(__name__)
 
@@ -59,22 +59,27 @@
     transport: Any
     MAX_LENGTH = MOST_BYTES - 2
 
-    def __init__(self, link: EdgeLink) -> None:
-        self.link = link
+    def __init__(self, link: EdgeLink, address: tuple[str, int] | None = None) -> None:
+        self.link, self.address = link, address or link.address  # where it leads, whatever becomes of the id
         self.up = False
         self.unread_since: float | None = None
         self.part_since: float | None = None  # a message has begun and is not whole
         self.heard_s = 0.0
         self.ending: Ending | None = None  # why this side closed it
+        self._closing: Any = None  # has it closed at the latest then, once this side has finished
 
     def connectionMade(self) -> None:
         self.up = True
+        self.link.pool.sockets.add(self)
         self.heard_s = self.link.pool.reactor.seconds()
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self.up = False
+        if self._closing is not None and self._closing.active():
+            self._closing.cancel()
+        self.link.pool.sockets.discard(self)
         self.link.closed(self, self.ending or lost(reason))
 
     def pauseProducing(self) -> None:
@@ -111,7 +116,15 @@
         if self.up and self.ending is None:
             self.ending = Ending.IDLE
             self.transport.loseWriteConnection()
-            self.link.pool.reactor.callLater(SETTLE_S, self.drop, Ending.IDLE)
+            self._closing = self.link.pool.reactor.callLater(SETTLE_S, self.drop, Ending.IDLE)
+
+    def leave(self) -> None:
+        """Close, once what was written has left: nothing is owed on it. Guards against a descriptor held for ever by a
+        peer that does not read."""
+        self.ending, self.up = Ending.IDLE, False
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        self._closing = self.link.pool.reactor.callLater(SETTLE_S, self.transport.abortConnection)
 
     def drop(self, ending: Ending, why: str = "") -> None:
         """Close at once."""
@@ -161,6 +174,11 @@
         self.heard_s = self.used_s = self.up_s = pool.reactor.seconds()
         self.idle_s = self.heard_s  # when nothing was to be heard from it, last
 
+    @property
+    def waiting(self) -> int:
+        """Set-ups that wait for a connection."""
+        return sum(bool(item.session) for item in self.queue)
+
     @property
     def idle(self) -> bool:
         return not (self.open or self.queue or self.pool.standing(self.edge))
@@ -170,9 +188,9 @@
     def send(self, item: Queued) -> Ending | None:
         """Write or queue; an ending where neither can be done."""
         connection = self.connection
+        if item.session and len(self.open) + self.waiting >= self.pool.limits.per_connection:
+            return Ending.QUEUE_FULL
         if connection is not None and connection.up:
-            if item.session and len(self.open) >= self.pool.limits.per_connection:
-                return Ending.QUEUE_FULL
             self._write(connection, item)
             return None
         if self.address is None:
@@ -209,10 +227,10 @@
         self.dialing = True
         address = self.address
         endpoint = TCP4ClientEndpoint(self.pool.reactor, *address, timeout=self.pool.limits.dial_s)
-        factory: Any = protocol.Factory.forProtocol(lambda: EdgeConnection(self))
+        factory: Any = protocol.Factory.forProtocol(lambda: EdgeConnection(self, address))
         factory.noisy = False
         done = endpoint.connect(factory)
-        done.addCallbacks(self._up, lambda reason: self._not_up(dial_failed(reason)), callbackArgs=(address,))
+        done.addCallbacks(self._up, lambda reason: self._not_up(dial_failed(reason), address), callbackArgs=(address,))
         done.addErrback(lambda reason: log.error("dial", extra={"edge": self.edge, "fault": str(reason)}))
 
     def check(self, why: str) -> None:
@@ -232,10 +250,7 @@
         self.dials = 0
         if address != self.address:  # the id moved, or its address went to another, while this was dialled
             connection.drop(Ending.MOVED)
-            if self.address is not None:
-                self.dial("moved")
-            else:
-                self._fail_queue(Ending.NO_ADDRESS)
+            self._moved()
             return
         old, self.connection = self.connection, connection
         self.heard_s = self.used_s = self.up_s = self.pool.reactor.seconds()
@@ -244,12 +259,24 @@
         while self.doubtful:
             # Guards against what stands for nobody: an answer that came spoilt or not at all has run.
             connection.sendString(wire.release(self.doubtful.popleft(), Ending.REVOKED))
+        now = now_us()
         while self.queue:
-            self._write(connection, self.queue.popleft())
+            item = self.queue.popleft()
+            self._write(connection, item)
+            if item.session:
+                self.pool.post(AttemptWritten(self.edge, item.session, now))
+
+    def _moved(self) -> None:
+        """A dial has ended that went to an address which is this id's no more."""
+        if self.address is None:
+            self._fail_queue(Ending.NO_ADDRESS)
+        elif self.queue or self.pool.standing(self.edge):
+            self.dial("moved")
 
     def move(self, address: tuple[str, int]) -> None:
-        """The id has another address: what is open there ends there, what is new goes to the new one."""
-        if self.connection is not None and self.address not in (None, address):
+        """The id has an address, perhaps another: what is open at the old one ends there, what is new goes to the new.
+        Guards against a set-up sent to the old place of an id that was gone from the list in between."""
+        if self.connection is not None and self.connection.address != address:
             old, self.connection = self.connection, None
             self._replace(old)
         self.address = address
@@ -281,13 +308,23 @@
         self.open.pop(session, None)
         return False
 
-    def _not_up(self, ending: Ending) -> None:
+    @property
+    def plays_on(self) -> bool:
+        """Told to leave, and heard lately: it takes no connection any more, and holds what it has until it ends."""
+        return (self.leaving and self.connection is not None and self.connection.up
+                and self.pool.reactor.seconds() - self.connection.heard_s < UNCHECKED_S)
+
+    def _not_up(self, ending: Ending, address: tuple[str, int] | None) -> None:
         self._dialled(well=False)
         log.info("edge not reached", extra={"edge": self.edge, "ending": ending.value})
+        if address != self.address:
+            self._moved()  # what was found is of the place that it has left, and tells nothing of the new one
+            return
         self._fail_queue(ending)
         self.dials += 1
         if ending is Ending.DIAL_REFUSED:
-            self.down(Ending.DOWN)  # a process that refuses has died, and has cut what it held
+            if not self.plays_on:
+                self.down(Ending.DOWN)  # a process that refuses has died, and has cut what it held
         elif not self.pool.standing(self.edge):
             return
         elif (self.dials >= (LOCAL_DIALS if ending is Ending.DIAL_FAILED else DIALS)
@@ -388,9 +425,8 @@
             elif silent_s > UNCHECKED_S or self.pool.may_check:
                 self.check("silent")
         elif idle and now_s - max(self.used_s, self.heard_s) > limits.idle_s:
-            connection.ending, connection.up = Ending.IDLE, False
             self.connection = None
-            connection.transport.loseConnection()
+            connection.leave()
 
 
 class EdgePool:
@@ -400,6 +436,7 @@
                  standing: Callable[[str], int]) -> None:
         self.reactor, self.limits, self.post, self.standing = reactor, limits, post, standing
         self.links: dict[str, EdgeLink] = {}
+        self.sockets: set[EdgeConnection] = set()  # all that are open, whichever link they belong to
         self.swept_s = 0.0
         self.check_s, self.pause_s = 0.0, CHECK_S  # when a silent link may be checked, and the pause after it
         self.deaths: dict[str, dict[str, float]] = {}  # by zone, lately: which servers, and when
@@ -409,10 +446,9 @@
         self.reactor.callLater(SWEEP_S, self._sweep)
 
     def room(self) -> bool:
-        """Whether one more connection keeps inside the bound on descriptors."""
-        used = sum((link.connection is not None) + link.dialing + len(link.replaced)
-                   for link in self.links.values())
-        return used < self.limits.connections
+        """Whether one more connection keeps inside the bound on descriptors: one that is being closed counts until
+        its socket is gone."""
+        return len(self.sockets) + sum(link.dialing for link in self.links.values()) < self.limits.connections
 
     @property
     def may_check(self) -> bool:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -87,15 +87,18 @@
         self.heard: queue.Queue[Said] = queue.Queue()
 
     def thread(self, work: Callable[..., None], *given: Any) -> threading.Thread:
+        thread = self.worker(work, *given)
+        thread.start()
+        return thread
+
+    def worker(self, work: Callable[..., None], *given: Any) -> threading.Thread:
         def guarded() -> None:
             try:
                 work(*given)
             except (OSError, ValueError, http.client.HTTPException) as error:
                 self.lost(type(error).__name__)
 
-        thread = threading.Thread(target=guarded, daemon=True)
-        thread.start()
-        return thread
+        return threading.Thread(target=guarded, daemon=True)
 
     def lost(self, why: str) -> None:
         self.heard.put(("CLOSED", "", {"why": why}))
@@ -188,10 +191,12 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.filled: set[Any] = set()
         self.opened: queue.Queue[None] = queue.Queue()  # apart: connections race with what is said on others
         self.connections: list[socket.socket] = []
         self.readers: dict[socket.socket, threading.Thread] = {}
         self.fillers: list[socket.socket] = []
+        self.opened_ms = 0  # when it began to take connections, once it had not
         if state == "refused":
             self.listener.close()
         elif state == "silent":
@@ -207,15 +212,28 @@
             self.fillers.append(socket.socket())
             self.fillers[-1].setblocking(False)
             self.fillers[-1].connect_ex(self.listener.getsockname())
+        self.filled = {filler.getsockname() for filler in self.fillers}
+
+    def take(self) -> None:
+        """Take connections again. One that is being dialled comes up when the kernel tries the next time."""
+        self.opened_ms = int(time.time() * 1_000)
+        for filler in self.fillers:
+            filler.close()
+        self.listener.listen(16)
+        self.thread(self.accept)
 
     def lost(self, why: str) -> None:
         """Not told: it would race with the next connection, which tells enough."""
 
     def accept(self) -> None:
         while True:
-            connection, _ = self.listener.accept()
-            self.readers[connection] = self.thread(self.read, connection)
+            connection, address = self.listener.accept()
+            if address in self.filled:
+                connection.close()
+                continue
+            self.readers[connection] = self.worker(self.read, connection)
             self.connections.append(connection)
+            self.readers[connection].start()
             self.opened.put(None)
 
     def expect(self, kind: str, session: str, fields: dict[str, str]) -> None:
@@ -246,6 +264,9 @@
                 self.heard.put((kind, name(frame[1:9].hex()), fields))
 
     def send(self, kind: str, session: str, fields: dict[str, str]) -> None:
+        if kind == "OPEN":
+            self.take()
+            return
         connection = self.connections[-1]
         if kind == "RAW":
             connection.sendall(fields["raw"].encode("latin-1"))
@@ -258,7 +279,8 @@
 
     def close(self, how: str = "") -> None:
         """In order, or with ``reset`` as when a process dies; ``all`` takes no new connection either. A machine
-        that goes ``silent`` keeps what is open and lets nothing new come up."""
+        that goes ``silent`` keeps what is open and lets nothing new come up, until ``send OPEN``; with its ``door``
+        closed it keeps what is open and refuses all else."""
         if how == "silent":
             address = self.listener.getsockname()
             self.listener.shutdown(socket.SHUT_RDWR)
@@ -268,6 +290,10 @@
             self.listener.bind(address)
             self.fall_silent()
             return
+        if how == "door":
+            self.listener.shutdown(socket.SHUT_RDWR)
+            self.listener.close()
+            return
         if how == "all":
             self.listener.shutdown(socket.SHUT_RDWR)
             self.listener.close()
@@ -339,13 +365,28 @@
 
 
 class Coordinator(HttpActor):
-    """``c send e0 state=draining`` tells news; ``c close`` breaks off, ``c close quiet`` falls silent, ``c close 40``
+    """``c send e0 state=draining`` tells news, and ``c expect FOLLOWED follow=2`` waits until the broker has it; ``c close`` breaks off, ``c close quiet`` falls silent, ``c close 40``
     stops after 40 bytes of its next news and stays open."""
 
     quiet = False
     cut_short = 0  # so many bytes of a next answer go out, and then nothing more
 
+    def __init__(self, world: World, label: str) -> None:
+        self.follows: queue.Queue[str] = queue.Queue()  # apart: most scenarios don't care
+        super().__init__(world, label)
+
+    def expect(self, kind: str, session: str, fields: dict[str, str]) -> None:
+        if kind != "FOLLOWED":
+            super().expect(kind, session, fields)
+            return
+        try:
+            while self.follows.get(timeout=PATIENCE) != fields["follow"]:
+                pass
+        except queue.Empty:
+            raise AssertionError(f"nobody follows from {fields['follow']} on") from None
+
     def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> tuple[int, dict, bytes]:
+        self.follows.put(query["follow"])
         if self.quiet:
             self.heard.put(("ASKED", "", query))
             time.sleep(PATIENCE)
@@ -363,7 +404,8 @@
     def send(self, kind: str, session: str, fields: dict[str, str]) -> None:
         entry = self.world.entry(kind, fields["state"], fields.get("address", kind))
         if "started" in fields:
-            entry["started_ms"] = int(time.time() * 1_000)
+            opened = fields["started"] == "open"  # when it last began to take connections; else now
+            entry["started_ms"] = self.world.actors[kind].opened_ms if opened else int(time.time() * 1_000)
         self.update(False, [entry])
 
     def close(self, how: str = "") -> None:
@@ -431,10 +473,13 @@
                 said = {"body": answer.read().decode(), "retry": answer.getheader("retry-after", "")}
                 self.heard.put((str(answer.status), "", said))
 
-        self.thread(work)
+        self.reader = self.thread(work)
 
     def close(self, how: str = "") -> None:
-        self.socket.shutdown(socket.SHUT_RDWR)
+        if how == "reset":
+            reset(self.socket, self.reader)
+        else:
+            self.socket.shutdown(socket.SHUT_RDWR)
 
 
 class Broker(Actor):
@@ -495,14 +540,16 @@
     def __init__(self, hints: bool = False, seed: int = 1, family: dict[str, Any] | None = None,
                  limits: dict[str, int] | None = None, node: type[Node] = Node,
                  cells: dict[str, str] | None = None, seats: str | None = None,
-                 command: list[str] | None = None, **states: str) -> None:
+                 command: list[str] | None = None, rules: dict[str, Any] | None = None, debug: bool = False,
+                 **states: str) -> None:
         self.states = states or {"e0": "up"}
         self.actors: dict[str, Any] = {"c": Coordinator(self, "c")}
         for label, state in self.states.items():
             self.actors[label] = node(self, label) if label[0] == "n" else Edge(self, label, state)
         self.actors["c"].update(True, [self.entry(label, state, label) for label, state in self.states.items()])
         self.folder = tempfile.TemporaryDirectory()
-        settings = {**SETTINGS, "FamilyInfo": {**SETTINGS["FamilyInfo"], **(family or {})}}
+        settings = {**SETTINGS, "FamilyInfo": {**SETTINGS["FamilyInfo"], **(family or {})},
+                    "Limits": {**SETTINGS["Limits"], **(rules or {})}}
         config = self.config = Path(self.folder.name, "config.json")
         self.told = {
             "name": "n0", "listen": "127.0.0.1:0", "seed": f"{seed:x}", "settings": settings,
@@ -511,6 +558,8 @@
             "known": {"index": 1, "updates": self.actors["c"].events[:1]}}
         config.write_text(json.dumps(self.told))
         command = [*(command or [sys.executable, "-m", "lotuspick", "serve"])]
+        if debug:
+            command += ["--log-level", "debug"]
         if hints:
             nodes = [f'"s-{label}" = "{actor.address}"' for label, actor in self.actors.items() if label[0] == "n"]
             front = Path(self.folder.name, "hints.toml")
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -368,13 +368,13 @@
         """Of a zone that is lost some connections show nothing, and each would be found out by its silence."""
         links = self.links("a", "a", "b", "a", "b")
         self.clock.advance(3.0)
-        links[0]._not_up(Ending.DIAL_REFUSED)
+        links[0]._not_up(Ending.DIAL_REFUSED, links[0].address)
         self.assertEqual(self.dialled(), 0)  # one death is no loss of a zone
-        links[1]._not_up(Ending.DIAL_REFUSED)
+        links[1]._not_up(Ending.DIAL_REFUSED, links[1].address)
         self.assertEqual([link.dial.call_count for link in links], [0, 0, 0, 1, 0])  # type: ignore[attr-defined]
-        links[2]._not_up(Ending.DIAL_REFUSED)
+        links[2]._not_up(Ending.DIAL_REFUSED, links[2].address)
         self.clock.advance(5.0)
-        links[4]._not_up(Ending.DIAL_REFUSED)
+        links[4]._not_up(Ending.DIAL_REFUSED, links[4].address)
         self.assertEqual(self.dialled(), 1)  # and neither are two with time between them
 
     def test_servers_that_were_told_to_leave_are_no_lost_zone(self) -> None:
@@ -384,7 +384,7 @@
         self.pool.named(ServerList(leaving), {link.edge: ("127.0.0.1", 9 + at) for at, link in enumerate(links)})
         self.clock.advance(3.0)
         for link in links[:2]:
-            link._not_up(Ending.DIAL_REFUSED)
+            link._not_up(Ending.DIAL_REFUSED, link.address)
         self.assertEqual(self.dialled(), 0)
 
     def test_a_server_that_was_told_to_leave_may_be_silent_for_longer(self) -> None:
@@ -423,9 +423,49 @@
             self.clock.advance(0.1)
             for link in links:
                 if link.checked:
-                    link._not_up(Ending.DIAL_REFUSED)
+                    link._not_up(Ending.DIAL_REFUSED, link.address)
         self.assertFalse([link for link in links if link.connection and link.connection.up])
 
+    def up(self, link: EdgeLink, address: tuple[str, int] = ("127.0.0.1", 9)) -> EdgeConnection:
+        """A dial of this link comes up."""
+        made = EdgeConnection(link, address)
+        made.makeConnection(Mock())
+        link._up(made, address)
+        return made
+
+    def test_one_that_is_being_closed_takes_up_a_descriptor_until_it_is_gone(self) -> None:
+        self.standing, self.link.address = 0, ("127.0.0.1", 9)
+        self.pool.limits = EdgeLimits(0.25, 1, 5, 32, connections=1)
+        idle = self.up(self.link)
+        self.pool.start()
+        self.clock.pump([0.1] * 12)
+        self.assertEqual((self.link.connection, idle.up, self.pool.room()), (None, False, False))
+        idle.transport.unregisterProducer.assert_called_once()  # one that waits to be read would never close
+        idle.transport.loseConnection.assert_called_once()
+        idle.transport.abortConnection.assert_not_called()
+        self.clock.pump([0.1] * 11)
+        idle.transport.abortConnection.assert_called_once()  # its peer does not read
+        idle.connectionLost(Failure(error.ConnectionAborted()))
+        self.assertTrue(self.pool.room())
+
+    def test_no_timer_of_a_connection_outlives_it(self) -> None:
+        self.standing, self.link.address = 0, ("127.0.0.1", 9)
+        for way in (EdgeConnection.finish, EdgeConnection.leave):
+            connection = self.up(self.link)
+            way(connection)
+            self.assertEqual(len(self.clock.getDelayedCalls()), 1)
+            connection.connectionLost(Failure(error.ConnectionDone()))
+            self.assertEqual(self.clock.getDelayedCalls(), [])
+
+    def test_a_server_told_to_leave_that_refuses_a_dial_and_talks_on_plays_on(self) -> None:
+        connection = self.connect()
+        for leaving, heard_s, plays in ((True, 0.0, True), (False, 0.0, False)):
+            with self.subTest(leaving=leaving):
+                self.posted.clear()
+                self.link.leaving, connection.heard_s = leaving, heard_s
+                self.link._not_up(Ending.DIAL_REFUSED, self.link.address)
+                self.assertEqual(EdgeDown("e", Ending.DOWN) not in self.posted, plays)
+
     def test_no_descriptor_left_tells_nothing_of_the_server(self) -> None:
         self.link.address = ("127.0.0.1", 9)
         self.pool.limits = EdgeLimits(0.25, 27, 5, 32, connections=0)
@@ -438,9 +478,9 @@
     def test_releases_outlive_dials_that_time_out_and_set_ups_do_not(self) -> None:
         self.standing = 0
         self.link.queue.extend([Queued(b"x", "s"), Queued(b"release")])
-        self.link._not_up(Ending.DIAL_TIMEOUT)
+        self.link._not_up(Ending.DIAL_TIMEOUT, self.link.address)
         self.assertEqual([each.frame for each in self.link.queue], [b"release"])
-        self.link._not_up(Ending.DIAL_REFUSED)
+        self.link._not_up(Ending.DIAL_REFUSED, self.link.address)
         self.assertFalse(self.link.queue)
         self.assertEqual(self.posted, [AttemptOver("e", "s", Ending.DIAL_TIMEOUT), EdgeDown("e", Ending.DOWN)])
 
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,149 @@
+"""Answers, time-outs, repeats and leaves that cross."""
+
+from __future__ import annotations
+
+import unittest
+from collections import deque
+from typing import Any
+from unittest.mock import Mock
+
+from helpers import request
+from test_scenarios import Scenario
+
+from lotuspick.interface import Ended, Send, SessionRequest, Started, ViewerGone
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.loop import Loop
+from lotuspick.routing.ports import Asked, EdgeAnswered, EdgeReleased, ViewerLost
+from lotuspick.routing.unsettled import Unsettled
+
+ASKED = """
+    v1 send SETUP s1 kind=exam left=8000 body=mine
+    e0 expect OPENED
+    e0 expect SETUP s1
+"""
+
+
+class Answers(Scenario):
+    def test_late_answers_of_all_attempts_leave_nothing_standing(self) -> None:
+        """Two servers time out one after the other, then both answer. e0 says something, so that it is not mute."""
+        self.play("""
+            v1 send SETUP s1 copies=2 left=2500
+            e0 expect SETUP s1
+            e0 send NOTE s99 topic=profile figure=2
+            c send e1 state=up
+            e0 expect RELEASE s1 cause=16
+            e1 expect SETUP s1
+            e1 send NOTE s99 topic=profile figure=2
+            e1 expect RELEASE s1 cause=16
+            v1 expect 453 s1
+            e0 send ANSWER s1 body=first
+            e0 expect RELEASE s1 cause=31
+            e1 send ANSWER s1 body=second
+            e1 expect RELEASE s1 cause=31
+            v1 expect NOTHING
+        """, e0="up", e1="draining")
+
+
+class Repeats(Scenario):
+    def test_who_comes_again_under_the_same_name_while_an_attempt_may_run_has_it_run_once(self) -> None:
+        for how in ("close", "close reset"):
+            with self.subTest(how):
+                self.play(ASKED + f"""
+                    v1 {how}
+                    e0 expect RELEASE s1 cause=16
+                    v2 send SETUP s1 kind=exam left=8000 body=mine
+                    v2 expect 500 s1 reason=~use
+                    e0 expect NOTHING
+                    e0 send ANSWER s1 body=late
+                    e0 expect RELEASE s1 cause=31
+                """)
+
+    def test_one_that_provably_never_ran_may_come_again(self) -> None:
+        self.play(ASKED + """
+            v1 send TEARDOWN s1
+            v1 expect 200 s1
+            e0 expect RELEASE s1 cause=16
+            e0 send RELEASE s1 cause=102
+            v1 send OPTIONS
+            v1 expect 200
+            v2 send SETUP s1 kind=exam left=8000 body=mine
+            e0 expect SETUP s1
+            e0 send ANSWER s1 body=good
+            v2 expect 200 s1 body=good
+        """)
+
+    def test_one_that_came_on_another_connection_first_outlives_the_old_one(self) -> None:
+        self.play(ASKED + """
+            v2 send SETUP s1 kind=exam left=8000 body=mine
+            v2 send OPTIONS
+            v2 expect 200
+            v1 close reset
+            e0 expect NOTHING
+            e0 send ANSWER s1 body=one
+            v2 expect 200 s1 body=one
+        """)
+
+
+class Orders(unittest.TestCase):
+    """Two items of one tick, in either order."""
+
+    def setUp(self) -> None:
+        self.edges = Mock(set_up=Mock(return_value=None), give_up=Mock(return_value=False))
+        self.told: list[Any] = []
+        self.loop = Loop(self, self.edges, lambda: 1_000, lambda at: None, 10, frozenset({"exam"}))
+
+    def handle(self, now: int, events: list[Any]) -> list[Any]:
+        self.told += events
+        return [Send(event.session, "e", 0) for event in events if isinstance(event, SessionRequest)]
+
+    def play(self, *items: Any) -> None:
+        self.loop.inbox = deque(items)
+        self.loop.tick()
+
+    def test_an_answer_ahead_of_the_word_that_its_viewer_left_stands_for_nobody(self) -> None:
+        viewer = Mock(open=True)
+        self.play(Asked(request("s", cls="exam"), viewer=viewer))
+        viewer.open = False
+        self.play(EdgeAnswered("e", "s", b""), ViewerLost(viewer))
+        viewer.served.assert_not_called()
+        self.edges.give_up.assert_called_once_with("e", "s")
+        self.edges.release.assert_called_once_with("e", "s", Ending.REVOKED)
+        self.assertFalse([each for each in self.told if isinstance(each, Started)])
+        self.assertEqual([each.session for each in self.told if isinstance(each, ViewerGone)], ["s"])
+        self.assertEqual((self.loop.table, self.loop.open_set_ups), ({}, 0))
+
+    def test_a_request_and_the_word_that_its_viewer_left_in_one_look_send_nothing(self) -> None:
+        viewer = Mock(open=True)
+        self.play(Asked(request("s", cls="exam"), viewer=viewer), ViewerLost(viewer))
+        self.edges.set_up.assert_not_called()
+        self.assertEqual((self.loop.table, self.loop.open_set_ups), ({}, 0))
+
+    def test_a_second_answer_and_a_word_of_another_server_change_nothing(self) -> None:
+        viewer = Mock(open=True)
+        self.play(Asked(request("s", cls="exam"), viewer=viewer))
+        self.play(EdgeReleased("other", "s", Ending.EDGE_ERROR, Ending.CUT), EdgeAnswered("e", "s", b"one"),
+                  EdgeAnswered("e", "s", b"two"), EdgeAnswered("other", "s", b"three"))
+        viewer.served.assert_called_once_with("s", b"one")
+        self.edges.release.assert_not_called()
+        self.assertFalse([each for each in self.told if isinstance(each, Ended)])
+        self.assertTrue(self.loop.table["s"].stands)
+
+
+class Attempts(unittest.TestCase):
+    def test_what_is_unsettled_is_kept_by_server_and_forgotten_in_time(self) -> None:
+        made = Unsettled()
+        made.add("s", "a", 1)
+        made.add("s", "b", 2)
+        made.add("t", "a", 3)
+        self.assertTrue(made.settle("s", "a"))
+        self.assertFalse(made.settle("s", "a"), "once")
+        self.assertIn("s", made)
+        made.add("s", "b", 4)  # taken back again: the latest counts
+        made.forget(4)
+        self.assertNotIn("t", made)
+        self.assertTrue(made.settle("s", "b"))
+        self.assertEqual((made.since_us, made.servers), ({}, {}))
+
+
+if __name__ == "__main__":
+    unittest.main()
