Let newcomers wait at the door where nobody can be closed, and spare who has just spoken

Change: a connection on which a whole message came within 0.1 s is not closed; the least is closed first by one rank (never spoke, nothing stands, sessions stand, shared by many); newcomers beyond the room wait in the kernel's queue until there is some, and no more are taken in one look than there are descriptors for. A viewer has one end: whatever ends it, its timers stop and its set-ups are given up at once, not when its socket goes; one that is closed in order and does not read is closed all the same; one that rests and leaves is known to have left though much of it lies unread.

--- a/lotuspick/lab/emulator/world.py
+++ b/lotuspick/lab/emulator/world.py
@@ -266,7 +266,7 @@
 class Try:
     """One request of a viewer, and the session that may come of it."""
 
-    open = True
+    open, heard_us = True, 0
 
     def __init__(self, world: World, intent: Intent, number: int, broker: Broker, lesson: Lesson,
                  player: Player | None = None) -> None:
--- a/lotuspick/plugin.py
+++ b/lotuspick/plugin.py
@@ -122,7 +122,7 @@
 class _Asker:
     """The loop's view of whoever asked: never gone, since it is in this process."""
 
-    open = True
+    open, heard_us = True, 0
 
     def __init__(self, tell: Callable[[Answer], None]) -> None:
         self.tell = tell
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -71,7 +71,7 @@
             self._changed(change)
         self.loop.tick()
         host, port = self.config.listen
-        self.listener = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        self.listener = self.front.listen(host, port, BACKLOG)
         port = self.listener.getHost().port
         for part in self.parts:
             part.start()
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -65,8 +65,9 @@
 MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
 OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
 UNSETTLED_US = 10_000_000  # an answer to a set-up that was given up may come so late
-FRESH_US = 1_000_000  # a connection so new may be about to ask ...
-FRESH_COUNTS = 3  # ... and goes after those of viewers that asked once, but before those that many share
+QUIET_US = 100_000  # a connection on which a message came within this is not closed for a newcomer: its next may cross
+SHARED = 3  # a connection with more set-ups and sessions than this is one that many share ...
+SHARED_US = 1_000_000  # ... and is given up so often at most
 SOON = 4  # part of a period
 MS = 1_000
 
@@ -100,6 +101,15 @@
     came_us: int
     asked: int = 0  # set-ups that it has carried
 
+    def rank(self, viewer: Viewer, there: int) -> tuple[int, int, int]:
+        """The least is closed first: one that never said anything, one on which nothing stands, one with sessions, one
+        that many share; of these, who asked least, and longest ago."""
+        if not viewer.heard_us:
+            return 0, 0, self.came_us
+        if not there:
+            return 1, self.asked, viewer.heard_us
+        return (2 if self.asked + there <= SHARED else 3), self.asked + there, viewer.heard_us
+
 
 def _discard(index: dict[Any, set[str]], key: Any, session: str) -> None:
     """Take a session off an index, which keeps no key under which nothing is left."""
@@ -127,7 +137,7 @@
         self.due: list[tuple[int, int, Callable[[int], Event | None]]] = []
         self.late: list[tuple[str, SessionRequest]] = []  # whose deadline has passed in this tick
         self.ticked_us, self.woken_us, self.timers = 0, 0, 0
-        self.shared_us = -FRESH_US  # when a connection that many share was last given up for a newcomer
+        self.shared_us = -SHARED_US  # when a connection that many share was last given up for a newcomer
         self.open_set_ups = 0
         self.turns: dict[type, Callable[[Any, int], list[Event]]] = {
             Asked: self._asked, Dropped: self._dropped, ViewerLost: self._viewer_lost,
@@ -151,30 +161,25 @@
         return len(self.by_edge.get(edge, ()))
 
     def spare(self, most: int) -> list[Viewer]:
-        """The viewer connections that can best be closed to make room; none with a set-up open can. Guards
-        against sessions that lose the way to their viewers: the connections that many share go last, after
-        those that say nothing, those on which nothing stands, and those of viewers that asked once. Up to
-        ``most`` at once, shared ones singly and one a second: a crowd must not have all looked at for each newcomer,
-        and many newcomers of one look, which are not known here yet, must not cost those that many share."""
+        """The viewer connections that can best be closed to make room, by :meth:`Seat.rank`. Guards against requests
+        and sessions lost with their connection: none with a set-up open can be closed, nor one on which a message came
+        a moment ago, whatever it was: the next is on its way, and a newcomer has not said anything yet. Up to ``most``
+        at once, shared ones singly and one a second: a crowd must not have all looked at for each newcomer, and many
+        newcomers of one look, which are not known here yet, must not cost those that many share."""
         now = self.clock()
         asking = {item.viewer for item in self.inbox if isinstance(item, Asked)}
-        ranked: list[tuple[int, int, int, Viewer]] = []
-        for order, (viewer, seat) in enumerate(self.viewers.items()):  # last to ask last
+        ranked: list[tuple[tuple[int, int, int], Viewer]] = []
+        for viewer, seat in self.viewers.items():
             there = self.by_viewer.get(viewer, ())
-            if not viewer.open or viewer in asking or any(not self.table[each].stands for each in there):
-                continue
-            if there:
-                ranked.append((2, seat.asked + len(there), order, viewer))
-            elif not seat.asked and now - seat.came_us < FRESH_US:
-                ranked.append((2, FRESH_COUNTS, order, viewer))
-            else:
-                ranked.append((1 if seat.asked else 0, seat.asked, order, viewer))
-        best = heapq.nsmallest(most, ranked, key=lambda each: each[:3])
-        if best and best[0][:2] > (2, FRESH_COUNTS):
-            if now - self.shared_us < FRESH_US:
+            if (viewer.open and viewer not in asking and viewer.heard_us <= now - QUIET_US
+                    and all(self.table[each].stands for each in there)):
+                ranked.append((seat.rank(viewer, len(there)), viewer))
+        best = heapq.nsmallest(most, ranked, key=lambda each: each[0])
+        if best and best[0][0][0] == 3:
+            if now - self.shared_us < SHARED_US:
                 return []
             self.shared_us = now
-        return [each[3] for at, each in enumerate(best) if not at or each[:2] <= (2, FRESH_COUNTS)]
+        return [viewer for at, (rank, viewer) in enumerate(best) if not at or rank[0] < 3]
 
     @property
     def owes(self) -> bool:
@@ -414,7 +419,7 @@
 
     def _roster(self, item: Roster, now: int) -> list[Event]:
         """Guards against sessions left standing at a process that died and came back before it was dialled: a
-        start cuts what stood before it."""
+        start cuts what stood before it. What was written later is the new process's, whenever it was queued."""
         events: list[Event] = []
         for entry in item.news.servers:
             events.extend(self._cut(entry.server, Ending.DOWN, now, entry.started_us))
--- a/lotuspick/routing/ports.py
+++ b/lotuspick/routing/ports.py
@@ -21,6 +21,10 @@
     def open(self) -> bool:
         """Whether anything can still be written to it."""
 
+    @property
+    def heard_us(self) -> int:
+        """When a whole message last came from it, on the clock of the loop; 0: never."""
+
     def served(self, session: str, description: bytes) -> None:
         """The session plays; the description is the edge server's, byte for byte."""
 
@@ -154,20 +158,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EdgeDown:
-    """The process or machine of an edge server is gone, and what stood there with it."""
+class AttemptWritten:
+    """An attempt that waited for a connection has left."""
 
     edge: str
-    ending: Ending
+    session: str
+    at_us: int
 
 
 @dataclass(frozen=True, slots=True)
-class AttemptWritten:
-    """An attempt that waited for a connection has left."""
+class EdgeDown:
+    """The process or machine of an edge server is gone, and what stood there with it."""
 
     edge: str
-    session: str
-    at_us: int
+    ending: Ending
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotuspick/transport/base.py
+++ b/lotuspick/transport/base.py
@@ -31,12 +31,21 @@
     return time.time()
 
 
-def readable(descriptor: int) -> bool:
-    """Whether something has come on a socket, its end included, that was not read yet."""
-    if descriptor < 0:
-        return False
+def readable(*descriptors: int) -> bool:
+    """Whether something has come on a socket, its end included, that was not read yet; a new connection, on one that
+    listens."""
     poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
+    for descriptor in descriptors:
+        if descriptor >= 0:
+            poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def hung_up(descriptor: int) -> bool:
+    """Whether the other side has closed, though what it sent before that may lie unread."""
+    poll = select.poll()
+    if descriptor >= 0:
+        poll.register(descriptor, select.POLLRDHUP)
     return bool(poll.poll(0))
 
 
--- a/lotuspick/transport/hints.py
+++ b/lotuspick/transport/hints.py
@@ -63,7 +63,7 @@
     def __init__(self, front: HintsFront, session: str, request: Any) -> None:
         self.front, self.session = front, session
         self.request: Any = request
-        self.open = True
+        self.open, self.heard_us = True, 0
         self.stands = False
         self.waiting: list[Any] = []  # requests that wait for the end
         request.notifyFinish().addErrback(self._left)
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import interfaces, protocol
+from twisted.internet import interfaces, protocol, tcp
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -16,7 +16,7 @@
 from lotuspick.protocol.faults import MOST_BYTES, ProtocolFault
 from lotuspick.routing.endings import Ending
 from lotuspick.routing.ports import Dropped, Inbound, Renew, Viewer, ViewerCame, ViewerLost
-from lotuspick.transport.base import Reactor, ended, lost, now_us, readable
+from lotuspick.transport.base import Reactor, ended, hung_up, lost, now_us, readable
 
 log = logging.getLogger(__name__)
 
@@ -24,7 +24,8 @@
 # saying nothing for so long at first: who has no request to make takes up a descriptor
 UNREAD_S = 5.0  # so does not reading what was written for so long
 FAULTS, REST_S = 3, 0.25  # malformed messages on one connection before each further one has it rest so long
-LEAVING_PART = 4  # as many more as this part may be on their way out at once
+WAITING_PART = 8  # as many more as this part may be here, those on their way out included; as many are taken at once
+AGAIN_S = 0.05  # while newcomers wait outside, room is looked for so often
 SPARED_PART = 32  # the part of all connections that is closed at once to make room
 MORE = 4  # of so many times as many, since those of which something waits unread are passed over
 COUNT_S = 1.0  # connections closed are told together, so often
@@ -48,7 +49,7 @@
         self._unread: Any = None
         self._resting: Any = None
         self._faults = 0
-        self._spoken = False  # a whole message has come
+        self.heard_us = 0  # when a whole message last came
 
     # ---- connection ---------------------------------------------------------------------------------------
 
@@ -56,14 +57,12 @@
         self.open = True
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self._part_way = self.front.reactor.callLater(PART_WAY_S, self.drop, Ending.SILENT)
+        self._part_way = self.front.reactor.callLater(PART_WAY_S, self._late)
         self.front.opened(self)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        self.open = False
-        self._part_way = self._stop(self._part_way)
+        self._end()
         self._unread = self._stop(self._unread)
-        self._resting = self._stop(self._resting)
         self.front.closed(self, lost(reason))
 
     def pauseProducing(self) -> None:
@@ -77,19 +76,44 @@
     def stopProducing(self) -> None:
         pass
 
+    def _end(self) -> None:
+        """Nothing more is heard or said, whenever the socket goes: what it asked for and is open is given up now."""
+        self._part_way = self._stop(self._part_way)
+        self._resting = self._stop(self._resting)
+        if self.open:
+            self.open = False
+            self.front.left(self)
+
+    def _late(self) -> None:
+        """A message is late. Guards against one that lies here unread, as this process was held up: it is looked for
+        once more, and whatever is whole then stops this."""
+        self._part_way = self.front.reactor.callLater(0, self.drop, Ending.SILENT)
+
     def drop(self, ending: Ending) -> None:
         """Close at once."""
         self.front.count(ending)
-        self.open = False
-        if self in self.front.viewers:
-            self.front.leaving.add(self)
+        self._end()
         ended(self.transport.getHandle())
         self.transport.abortConnection()
 
-    def unread(self) -> bool:
-        """Whether something has come that was not read yet. Guards against a request lost that crosses its connection's
-        close: it counts as taken once it is here. One that rests is not waited for, as it sends without end."""
-        return self._resting is None and readable(self.transport.fileno())
+    def finish(self) -> None:
+        """Close in order, once what was written has left. Guards against a connection that stays for ever: one whose
+        peer does not read is closed all the same, and one that is told to go on does not forget that it ends."""
+        self._end()
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        self._unread = self._stop(self._unread) or self.front.reactor.callLater(UNREAD_S, self.drop, Ending.SILENT)
+
+    def say_no_more(self) -> None:
+        """Close one direction: this process ends, and its peer reads the rest."""
+        self._end()
+        self.transport.loseWriteConnection()
+
+    @property
+    def descriptor(self) -> int:
+        """Its socket, where something may come on it that is waited for; else -1. One that rests is not waited for, as
+        it sends without end."""
+        return self.transport.fileno() if self.open and self._resting is None else -1
 
     def _stop(self, call: Any) -> Any:
         if call is not None and call.active():
@@ -102,8 +126,8 @@
         super().dataReceived(data)
         waiting = self.open and (self._decoder.part_way or bool(self.line_mode and self._buffer))
         if waiting and self._part_way is None:
-            self._part_way = self.front.reactor.callLater(PART_WAY_S, self.drop, Ending.SILENT)
-        elif not waiting and self._spoken:
+            self._part_way = self.front.reactor.callLater(PART_WAY_S, self._late)
+        elif not waiting and self.heard_us:
             self._part_way = self._stop(self._part_way)
 
     def lineReceived(self, line: bytes) -> None:
@@ -134,8 +158,7 @@
         log.info("malformed input from a viewer", extra={"fault": fault})
         if self.open:
             self._write(rtsp.response(rtsp.BAD_REQUEST, "0", why=fault))
-            self.open = False
-            self.transport.loseConnection()
+            self.finish()
             self.clearLineBuffer()
 
     def abandon(self, why: str) -> None:
@@ -152,13 +175,16 @@
 
     def _rested(self) -> None:
         self._resting = None
+        if hung_up(self.transport.fileno()):  # not seen while nothing was read, nor for as long as something is left
+            self.drop(Ending.CLOSED)
+            return
         self.paused = False
         self.transport.resumeProducing()
         self.dataReceived(b"")
 
     def _message(self, message: rtsp.Message) -> None:
         # A busy viewer may always be part way in some message: only one that takes too long counts.
-        self._part_way, self._spoken = self._stop(self._part_way), True
+        self._part_way, self.heard_us = self._stop(self._part_way), now_us()
         if not message.method:
             return  # a release heard; it means nothing
         cseq = message.headers.get("cseq", "")
@@ -211,6 +237,16 @@
         self._write(rtsp.release(session, ending))
 
 
+class Door(tcp.Port):
+    """The listening socket. Guards against a crowd of which more is taken in one look than there are descriptors."""
+
+    at_once = 1
+
+    def doRead(self) -> None:
+        self.numberAccepts = self.at_once
+        super().doRead()
+
+
 class RtspFront(protocol.Factory):
     """All viewer connections, bounded in number."""
 
@@ -222,37 +258,75 @@
         self.reactor, self.post, self.ready, self.terms, self.renew = reactor, post, ready, terms, renew
         self.most, self.spare = most, spare
         self.viewers: dict[RtspViewer, None] = {}
-        self.leaving: set[RtspViewer] = set()  # of these, those that were closed and are not gone yet
+        self.leaving: set[RtspViewer] = set()  # of these, those that have ended and whose sockets are not gone yet
         self.dropped: Counter[str] = Counter()
+        self.door: Door | None = None
+        self.shut: Any = None  # the next look for room, while the door is shut
 
     def buildProtocol(self, addr: object) -> RtspViewer:
         return RtspViewer(self)
 
     def opened(self, viewer: RtspViewer) -> None:
-        if len(self.viewers) >= self.most + self.most // LEAVING_PART:
-            viewer.drop(Ending.CROWDED)
-            return
-        if len(self.viewers) - len(self.leaving) >= self.most:
-            # Many newcomers come in one look of the reactor, and those closed for the first are gone only after it:
-            # they count as room already, or each newcomer would cost as many again, up to those that many share.
-            # One without an open set-up, of which nothing waits, may be closed; else the newcomer has to go.
-            most = 1 + self.most // SPARED_PART
-            idle = [each for each in self.spare(MORE * most)
-                    if isinstance(each, RtspViewer) and not each.unread()][:most]
-            for each in idle or [viewer]:
-                each.drop(Ending.CROWDED)
-            if not idle:
-                return
         self.viewers[viewer] = None
         self.post(ViewerCame(viewer))
+        self._make_room()
+
+    def _make_room(self) -> None:
+        """Close what can best be closed, where there are too many; where nothing can, newcomers wait at the door."""
+        over = len(self.viewers) - len(self.leaving) - self.most
+        if over > 0:
+            # Many newcomers come in one look of the reactor, and those closed for the first are gone only after it:
+            # they count as room already, or each newcomer would cost as many again, up to those that many share.
+            # One without an open set-up, of which nothing waits, may be closed. Guards against a request lost that
+            # crosses its connection's close: it counts as taken once it is here.
+            most = over + self.most // SPARED_PART
+            for each in self.spare(MORE * most):
+                if most and isinstance(each, RtspViewer) and not readable(each.descriptor):
+                    each.drop(Ending.CROWDED)
+                    most -= 1
+        self._mind_the_door()
+
+    def _mind_the_door(self) -> None:
+        """Guards against requests lost with newcomers that are turned away: a connection that has waited to be taken
+        may carry several. They wait in the kernel's queue instead, for as long as there is no room."""
+        full = len(self.viewers) >= self.most + self.most // WAITING_PART
+        if full and self.shut is None:
+            self.shut = self.reactor.callLater(AGAIN_S, self._again)
+            if self.door is not None:
+                self.door.stopReading()
+        elif not full and self.shut is not None:
+            self.shut.cancel()
+            self.shut = None
+            if self.door is not None and self.door.connected:
+                self.door.startReading()
+
+    def _again(self) -> None:
+        self.shut = self.reactor.callLater(AGAIN_S, self._again)
+        self._make_room()
+
+    def listen(self, host: str, port: int, backlog: int) -> Any:
+        """Take connections there; returns the listening port."""
+        factory: Any = self
+        self.door = Door(port, factory, backlog, host, self.reactor)
+        self.door.at_once = max(1, self.most // WAITING_PART)
+        self.door.startListening()
+        return self.door
+
+    def unread(self) -> bool:
+        """Whether something has come from any of them that was not read yet."""
+        return readable(*(viewer.descriptor for viewer in self.viewers))
 
     def finish(self) -> None:
         """Close all in order, once what was written has left. Guards against a set-up lost that comes while
         the process ends: one that crosses a close is sent once more, elsewhere."""
         for viewer in list(self.viewers):
             if viewer.open:
-                viewer.open = False
-                viewer.transport.loseWriteConnection()
+                viewer.say_no_more()
+
+    def left(self, viewer: RtspViewer) -> None:
+        """It has ended, as far as the loop is concerned; its socket may take a while."""
+        self.leaving.add(viewer)
+        self.post(ViewerLost(viewer))
 
     def count(self, ending: Ending) -> None:
         """Guards against a crowd that costs a log line for each one closed: they are told by the second."""
@@ -266,7 +340,6 @@
 
     def closed(self, viewer: RtspViewer, ending: Ending) -> None:
         self.leaving.discard(viewer)
-        if viewer in self.viewers:
-            del self.viewers[viewer]
-            log.debug("viewer closed", extra={"ending": ending.value})
-            self.post(ViewerLost(viewer))
+        self.viewers.pop(viewer, None)
+        self._mind_the_door()
+        log.debug("viewer closed", extra={"ending": ending.value})
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,132 @@
+"""Viewers' connections that are closed, from here or from there, as something comes on them."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from unittest.mock import Mock
+
+from test_scenarios import Malformed, Scenario
+from twisted.internet import error
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from lotuspick.protocol import rtsp
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.ports import ViewerLost
+from lotuspick.transport.viewers import UNREAD_S, RtspFront, RtspViewer
+
+ROOM = {"PlacesByKind": [100], "WeightKb": 100_000.0}
+
+
+class Doors(Scenario):
+    def test_newcomers_for_whom_nobody_can_be_closed_wait_and_are_served(self) -> None:
+        """Half of 64 is room for 32 viewers, and for 4 newcomers more; each has a set-up open."""
+        crowd = "\n".join(f"v{each} send SETUP s{each} kind=exam left=15000\ne0 expect SETUP s{each}"
+                          for each in range(1, 37))
+        self.play(crowd + """
+            v37 send SETUP s37 kind=exam left=15000
+            v38 send SETUP s38 kind=exam left=15000
+            e0 expect NOTHING
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1
+            v1 close
+            e0 expect SETUP s37
+            e0 send ANSWER s37 body=late
+            v37 expect 200 s37 body=late
+            v37 close
+            e0 expect SETUP s38
+        """, limits={"sockets": 64}, family=ROOM, rules={"StreamsPerConn": 64})
+
+    def test_what_waits_outside_is_taken_before_an_end(self) -> None:
+        crowd = "\n".join(f"v{each} send SETUP s{each} kind=exam left=9000\ne0 expect SETUP s{each}"
+                          for each in range(1, 37))
+        answers = "\n".join(f"e0 send ANSWER s{each} body=x\nv{each} expect 200 s{each}\ne0 send RELEASE s{each} cause=16\n"
+                            f"v{each} expect TEARDOWN s{each}\nv{each} close" for each in range(1, 37))
+        self.play(crowd + """
+            v37 send SETUP s37 kind=exam left=9000
+            b send TERM
+            b expect LINE msg=stopping
+        """ + answers + """
+            e0 expect SETUP s37
+            e0 send ANSWER s37 body=late
+            v37 expect 200 s37 body=late
+        """, limits={"sockets": 64}, family=ROOM, rules={"StreamsPerConn": 64})
+
+
+class Rests(Scenario):
+    def test_one_that_rests_and_leaves_is_known_to_have_left_though_much_lies_unread(self) -> None:
+        for how in ("close", "close reset", "close half"):
+            with self.subTest(how):
+                self.play(f"""
+                    v1 send SETUP s1 kind=exam left=60000
+                    e0 expect OPENED
+                    e0 expect SETUP s1
+                    v1 send RAW {Malformed.WRONG * 800!r}
+                    v1 expect 400
+                    v1 {how}
+                    e0 expect RELEASE s1 cause=16
+                """)
+
+
+class Pipe(StringTransport):
+    """A transport whose end comes when the test says so."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def getHandle(self) -> Any:
+        return Mock()
+
+    def fileno(self) -> int:
+        return -1
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+    def loseWriteConnection(self) -> None:
+        pass
+
+
+class Ends(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock, self.posted = Clock(), list[Any]()
+        self.front = RtspFront(self.clock, self.posted.append, lambda: True, rtsp.Terms(frozenset(), 1, 1), 64,
+                               lambda most: [])
+
+    def come(self) -> RtspViewer:
+        viewer = self.front.buildProtocol(None)
+        viewer.makeConnection(Pipe())
+        self.posted.clear()
+        return viewer
+
+    def test_one_that_is_closed_in_order_has_left_at_once_and_is_gone_in_time_though_it_does_not_read(self) -> None:
+        viewer = self.come()
+        viewer.pauseProducing()
+        viewer.dataReceived(b"NONSENSE\r\n")
+        self.assertEqual(self.posted, [ViewerLost(viewer)])
+        self.assertIsNone(viewer.transport.producer)  # the transport closes only what it need not fill again
+        viewer.resumeProducing()
+        viewer.pauseProducing()
+        self.assertEqual((viewer.open, viewer.transport.aborted), (False, False))
+        self.clock.advance(UNREAD_S)
+        self.assertTrue(viewer.transport.aborted)
+        viewer.connectionLost(Failure(error.ConnectionAborted()))
+        self.assertEqual((self.posted, self.front.viewers, self.front.leaving), ([ViewerLost(viewer)], {}, set()))
+
+    def test_no_timer_outlives_its_connection_and_its_end_is_told_once(self) -> None:
+        for way in (lambda each: None, lambda each: each.dataReceived(b"OPTIONS x"), lambda each: each.pauseProducing(),
+                    lambda each: each.dataReceived(Malformed.WRONG * 9), lambda each: each.dataReceived(b"x\r\n"),
+                    lambda each: each.drop(Ending.CROWDED), lambda each: each.say_no_more()):
+            viewer = self.come()
+            way(viewer)
+            viewer.connectionLost(Failure(error.ConnectionDone()))
+            self.clock.advance(1.0)  # the count of those closed is told
+            self.assertEqual((self.clock.getDelayedCalls(), self.posted), ([], [ViewerLost(viewer)]))
+
+
+if __name__ == "__main__":
+    unittest.main()
