Keep signals that come before a broker can heed them, and look once more before what is late is decided

Found by reading program/serve.py and program/daemon.py at each statement between the start of the process and its end: - SIGHUP ended a broker until its configuration was read (the default of the signal held that long), and one that came between the reading and `serving` was thrown away, so that the broker followed a coordinator that had moved; SIGTERM in that time ended it with the signal's own code; - a process that was held up runs its timers before it looks at its sockets (Twisted: runUntilCurrent, then doIteration): a tick then timed an attempt out whose answer lay unread, and a planned end whose 0.8 s had passed meanwhile left with requests unread and connections not taken.

Change: the signals are blocked while the broker starts, so that the kernel keeps them, and unblocked once it serves; `run` has SIGHUP ignored until the program is there (tests/test_deploy.py now holds `run` to its very words instead of their form). A late tick looks at the sockets once before it decides, and an end waits for what lies unread.

Seen to fail on the parent commit: four of tests/test_shutdown.py (configuration in a pipe, so that the order is forced), and three cases of tests/test_held_up.py, where a broker on real connections is stepped by the test: timers, then sockets. The other scenarios of a shutdown at each stage hold on both.

--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -18,7 +18,7 @@
 from lotuspick.protocol.rtsp import Terms
 from lotuspick.routing.loop import Loop
 from lotuspick.routing.ports import Edges, Roster
-from lotuspick.transport.base import Reactor, now_us
+from lotuspick.transport.base import Reactor, now_us, readable
 from lotuspick.transport.coordinator import Feed
 from lotuspick.transport.edges import EdgeLimits, EdgePool
 from lotuspick.transport.viewers import RtspFront
@@ -61,12 +61,19 @@
         self.listener: Any = None
         self._call: Any = None
 
-    def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, and until nothing is owed any more."""
+    def run(self, blocked: frozenset[signal.Signals] = frozenset()) -> None:
+        """Serve until SIGTERM or SIGINT, and until nothing is owed any more. ``blocked``: signals that wait for it."""
         _bound_descriptors(self.config.sockets)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.reactor.callFromThread(self.stop))
         signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
+        self.start()
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, blocked)
+        self.reactor.run(installSignalHandlers=False)
+        log.info("stopped")
+
+    def start(self) -> None:
+        """Take what is known of the servers, listen and follow the coordinator."""
         for change in self.config.changes:
             self._changed(change)
         self.loop.tick()
@@ -83,8 +90,6 @@
         gc.freeze()  # what is here now stays: collections need not look at it
         log.info("serving", extra={"broker": self.config.name, "listen": f"{host}:{port}",
                                    "servers": len(self.module.servers)})
-        self.reactor.run(installSignalHandlers=False)
-        log.info("stopped")
 
     def reload(self) -> None:
         """Read the configuration again and move to the coordinator named. Guards against a broker that
@@ -117,7 +122,10 @@
         now_s = self.reactor.seconds()
         if now_s >= play_until_s:
             self.loop.end()
-        if now_s < last_s and (self.loop.owes or self.loop.table and now_s < play_until_s):
+        # What lies unread was taken all the same. Guards against an end in the moment after this process was held up:
+        # its timers are due before it has looked at its sockets.
+        stays = self.loop.owes or now_s < play_until_s and (self.loop.table or self._unread())
+        if now_s < last_s and stays:
             self.reactor.callLater(0.02, self._stop_when_done, play_until_s, last_s)
         else:  # nothing stands any more: it has ended by itself, or just above
             self.listener.stopListening()
@@ -126,6 +134,10 @@
                 part.finish()
             self.reactor.callLater(0.1, self.reactor.stop)  # what was just written leaves first
 
+    def _unread(self) -> bool:
+        """Whether a connection or a message has come that was not looked at yet."""
+        return self.front.unread() or readable(self.listener.fileno())
+
     def _tick(self, told: int) -> None:
         """Have the parts do what is due, and log what they have to say, with a summary now and then."""
         for part in self.parts:
@@ -142,7 +154,15 @@
     def _wake(self, at_us: int) -> None:
         if self._call is not None and self._call.active():
             self._call.cancel()
-        self._call = self.reactor.callLater(max(0, at_us - now_us()) / SECOND, self.loop.tick)
+        self._call = self.reactor.callLater(max(0, at_us - now_us()) / SECOND, self._due, at_us)
+
+    def _due(self, at_us: int) -> None:
+        """A tick is due. Guards against one that decides without what has come, as this process was held up: an answer
+        that lies unread beside its time-out, a viewer that has left. The sockets are looked at once before it."""
+        if now_us() - at_us > self.config.period_us:
+            self._call = self.reactor.callLater(0, self.loop.tick)
+        else:
+            self.loop.tick()
 
     def ready(self) -> bool:
         return bool(self.module.servers) and not self.stopping
--- a/lotuspick/program/serve.py
+++ b/lotuspick/program/serve.py
@@ -16,6 +16,8 @@
 from lotuspick.program import config, logs
 from lotuspick.program.config import ConfigError
 
+SIGNALS = frozenset({signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+
 
 @dataclass(frozen=True, slots=True)
 class Files:
@@ -36,14 +38,16 @@
 
 def serve(files: Files, log_level: str = "info") -> None:
     """Serve viewers until SIGTERM. Raises :class:`ConfigError` where it cannot begin."""
+    # Guards against a signal lost, or fatal, before it can be heeded: the kernel keeps it until the broker unblocks it,
+    # and a SIGHUP that crosses the reading of the configuration has it read again.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     loaded = files.load()
     logs.start(log_level)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end for one that comes before it is ready
     from twisted.internet import reactor  # importing it installs it
 
     from lotuspick.program.daemon import Daemon
 
-    Daemon(loaded, reactor, files.load).run()
+    Daemon(loaded, reactor, files.load).run(SIGNALS)
 
 
 def main() -> None:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -42,8 +42,8 @@
 
 class Deploy(unittest.TestCase):
     def test_run_is_one_process_over_ipv4_and_loads_nothing_that_is_off(self) -> None:
-        self.assertTrue(DEPLOY["run"].startswith(f"exec {PYTHON} "), DEPLOY["run"])
-        self.assertFalse(set(DEPLOY["run"]) & set("&|;`$<>()\n"))
+        # Nothing but this, word for word: a SIGHUP that comes before the program can heed it must not end it.
+        self.assertEqual(DEPLOY["run"], f"trap '' HUP; exec {PYTHON} -B -m lotuspick.program.serve")
         with mock.patch.dict(os.environ, PYTHONPROFILEIMPORTTIME="1"):
             world = World(command=["/bin/sh", "-c", here(DEPLOY["run"])])
         self.addCleanup(world.end)
--- /dev/null
+++ b/tests/test_held_up.py
@@ -0,0 +1,82 @@
+"""A broker that was held up, and finds its timers due before it has looked at what came meanwhile."""
+
+from __future__ import annotations
+
+import struct
+import unittest
+
+from stepped import Stepped
+
+SETUP = (b"SETUP rtsp://media/aa00 RTSP/1.0\r\nCSeq: 1\r\nSession: 0000000000000001\r\nP-Kind: exam\r\n"
+         b"P-Time-Left: %d\r\nP-Path: home:0;copies:1;top:2\r\nContent-Length: 4\r\n\r\nof\r\n")
+ID = bytes.fromhex("0000000000000001")
+ANSWER = b"\x09" + ID + b"\x82\x00\x04good"
+
+
+def frame(message: bytes) -> bytes:
+    return struct.pack(">H", len(message)) + message
+
+
+class HeldUp(Stepped):
+    def test_an_answer_that_lies_here_when_its_time_is_up_counts(self) -> None:
+        viewer = self.call()
+        viewer.sendall(SETUP % 1_000)
+        edge = self.take()
+        self.hears(edge, ID)
+        edge.sendall(frame(ANSWER))
+        self.held_up(1.2)
+        self.timers()
+        self.hears(viewer, b"RTSP/1.0 200 ")
+
+    def test_the_rest_of_a_message_that_lies_here_is_in_time(self) -> None:
+        viewer, whole = self.call(), SETUP % 9_000
+        viewer.sendall(whole[:60])
+        self.until(lambda: any(each._buffer or each._decoder.part_way for each in self.daemon.front.viewers))
+        viewer.sendall(whole[60:])
+        self.held_up(2.2)
+        self.timers()
+        self.hears(self.take(), ID)
+
+    def test_one_that_is_late_all_the_same_is_closed(self) -> None:
+        viewer = self.call()
+        viewer.sendall((SETUP % 9_000)[:60])
+        self.until(lambda: self.daemon.front.viewers)
+        self.held_up(2.2)
+        self.timers()
+        self.until(lambda: not self.daemon.front.viewers)
+
+    def test_what_came_before_an_end_and_was_not_looked_at_is_served(self) -> None:
+        """A connection that waits to be taken, and one on which a request waits to be read."""
+        for known in (True, False):
+            with self.subTest(known=known):
+                self.doCleanups()
+                self.setUp()
+                viewer = self.call()
+                if known:
+                    viewer.sendall(b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+                    self.hears(viewer, b"200")
+                self.daemon.stop()
+                viewer.sendall(SETUP % 5_000)
+                self.held_up(0.9)
+                self.timers()
+                self.assertFalse(self.stopped)
+                edge = self.take()
+                self.hears(edge, ID)
+                edge.sendall(frame(ANSWER))
+                self.hears(viewer, b"RTSP/1.0 200 ")
+                edge.sendall(frame(b"\x0c" + ID + b"\x80\x00\x01\x10"))
+                self.hears(viewer, b"TEARDOWN")
+                self.until(lambda: self.stopped)
+
+    def test_a_viewer_whose_leave_lies_here_is_sent_on_nowhere(self) -> None:
+        viewer = self.call()
+        viewer.sendall(SETUP % 9_000)
+        viewer.close()
+        self.until(lambda: self.daemon.front.viewers)
+        self.until(lambda: not self.daemon.front.viewers)
+        self.until(lambda: not self.daemon.loop.inbox)
+        self.assertEqual((self.daemon.loop.table, self.daemon.loop.open_set_ups), ({}, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,229 @@
+"""A planned end, and a reload, as requests come at every stage: nothing taken is lost."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import unittest
+
+from scenario import Broker, World
+from test_deploy import DEPLOY, here
+from test_scenarios import PLAYING, Bounds, Scenario
+
+RUN = here(DEPLOY["run"])
+SETUP = Bounds.SET_UP % 1
+LATE = {"DialTimeoutUs": 8_000_000}
+SERVED = """
+    e0 expect SETUP s1
+    e0 send ANSWER s1 body=one
+    v1 expect 200 s1 body=one
+    e0 send RELEASE s1 cause=16
+    v1 expect TEARDOWN s1 why=cause=16
+    b expect EXIT code=0
+"""
+
+
+class Stages(Scenario):
+    """SIGTERM, and the request is ..."""
+
+    def test_unread_in_the_kernel(self) -> None:
+        self.play("""
+            v1 send OPTIONS
+            v1 expect 200
+            b send STOP
+            b send TERM
+            v1 send SETUP s1 kind=exam left=3000
+            b send CONT
+        """ + SERVED)
+
+    def test_on_a_connection_that_was_not_taken_yet(self) -> None:
+        self.play("""
+            b send STOP
+            v1 send SETUP s1 kind=exam left=3000
+            b send TERM
+            b send CONT
+        """ + SERVED)
+
+    def test_half_read(self) -> None:
+        self.play(f"""
+            v1 send RAW {SETUP[:90]!r}
+            v2 send OPTIONS
+            v2 expect 200
+            b send TERM
+            b expect LINE msg=stopping
+            v1 send RAW {SETUP[90:]!r}
+        """ + SERVED)
+
+    def test_queued_for_a_dial(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=9000
+            b expect LINE why="to
+            b send TERM
+            b expect LINE msg=stopping
+            e0 send OPEN
+        """ + SERVED, rules=LATE, debug=True, e0="silent")
+
+    def test_sent_and_unanswered_when_it_comes_twice(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=3000
+            e0 expect SETUP s1
+            b send TERM
+            b expect LINE msg=stopping
+            b send TERM
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+            b send TERM
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+            b expect EXIT code=0
+        """)
+
+    def test_held_for_want_of_a_server(self) -> None:
+        self.play("""
+            c send e0 state=draining
+            c expect FOLLOWED follow=2
+            v1 send SETUP s1 left=2500
+            b send TERM
+            v1 expect 453 s1
+            b expect EXIT code=0
+        """)
+
+    def test_given_up_by_a_viewer_that_leaves(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=9000
+            e0 expect SETUP s1
+            b send TERM
+            b expect LINE msg=stopping
+            v1 close reset
+            e0 expect RELEASE s1 cause=16
+            b expect EXIT code=0
+        """)
+
+    def test_answered_and_not_read_by_its_viewer(self) -> None:
+        """What it does not read is no reason to stay, and none to break off what others are owed."""
+        self.play("""
+            v1 send SETUP s1 kind=exam left=3000
+            e0 expect SETUP s1
+            b send TERM
+            b expect LINE msg=stopping
+            e0 send ANSWER s1 body=one
+            e0 send RELEASE s1 cause=16
+            b expect EXIT code=0
+            v1 expect 200 s1 body=one
+            v1 expect TEARDOWN s1 why=cause=16
+            v1 expect CLOSED
+        """)
+
+
+class Beginnings(unittest.TestCase):
+    """Signals that come while a broker reads its configuration, which waits in a pipe for as long as the test likes."""
+
+    def begin(self, *signals: signal.Signals) -> World:
+        world = World()
+        self.addCleanup(world.end)
+        world.broker.process.kill()
+        world.broker.expect("EXIT", "", {})
+        first, path = world.config.read_text(), world.config
+        path.unlink()
+        os.mkfifo(path)
+        world.broker = world.actors["b"] = Broker(world, world.command, world.environment)
+        with path.open("w") as pipe:  # it reads
+            for each in signals:
+                world.broker.process.send_signal(each)
+            newer = path.with_suffix(".newer")
+            newer.write_text(json.dumps({**world.told, "coordinator": world.actor("c2").address}))
+            newer.rename(path)
+            pipe.write(first)
+        world.listen = ("127.0.0.1", world.broker.port())
+        return world
+
+    def test_a_reload_that_crosses_the_reading_takes_the_newer_file(self) -> None:
+        self.begin(signal.SIGHUP).play("""
+            b expect LINE msg="configuration
+            c2 send e0 state=draining
+            c2 expect FOLLOWED follow=2
+            v1 send SETUP s1 left=700
+            v1 expect 453 s1
+        """)
+
+    def test_an_end_that_is_asked_for_before_it_serves_comes_in_order(self) -> None:
+        self.begin(signal.SIGTERM).play("""
+            b expect LINE msg=stopping
+            b expect EXIT code=0
+        """)
+
+    def test_both(self) -> None:
+        self.begin(signal.SIGTERM, signal.SIGHUP).play("""
+            b expect EXIT code=0
+        """)
+
+
+    def test_a_reload_asked_for_before_the_program_is_loaded_does_not_end_it(self) -> None:
+        """As the platform starts it: SIGHUP comes while the interpreter itself is still about to read the program."""
+        world = World(command=["/bin/sh", "-c", RUN.replace("exec ", "kill -HUP $$; exec ")])
+        self.addCleanup(world.end)
+        world.play("""
+            v1 send OPTIONS
+            v1 expect 200
+        """)
+
+
+class Reloads(Scenario):
+    def test_requests_at_each_stage_outlive_a_reload(self) -> None:
+        self.play(PLAYING + """
+            v1 send SETUP s2 kind=exam left=9000
+            e0 expect SETUP s2
+            b send STOP
+            v2 send SETUP s3 kind=exam left=9000
+            b send HUP coordinator=c2
+            b send CONT
+            e0 expect SETUP s3
+            c2 expect FOLLOWED follow=1
+            e0 send ANSWER s2 body=two
+            v1 expect 200 s2 body=two
+            e0 send ANSWER s3 body=three
+            v2 expect 200 s3 body=three
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+            c2 send e0 state=draining
+            c2 expect FOLLOWED follow=2
+            v1 send SETUP s4 left=700
+            v1 expect 453 s4
+        """)
+
+    def test_sighup_and_then_sigterm_in_one_look(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=3000
+            e0 expect SETUP s1
+            b send STOP
+            b send HUP coordinator=c2
+            b send TERM
+            b send CONT
+            b expect LINE msg="configuration
+            b expect LINE msg=stopping
+            c2 expect FOLLOWED follow=1
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+            e0 send RELEASE s1 cause=16
+            v1 expect TEARDOWN s1 why=cause=16
+            b expect EXIT code=0
+        """)
+
+    def test_a_file_that_is_bad_while_it_stops_is_logged_and_passed_over(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=3000
+            e0 expect SETUP s1
+            b send TERM
+            b expect LINE msg=stopping
+            b send HUP text={"settings":1}
+            b expect LINE at=ERROR
+            e0 send ANSWER s1 body=one
+            v1 expect 200 s1 body=one
+            e0 send RELEASE s1 cause=16
+            b expect EXIT code=0
+        """)
+
+
+if __name__ == "__main__":
+    unittest.main()
