Ask viewers to stay away as the settings allow where a broker is full

Seen by search for seconds fitted to one deployment: a broker with as many open set-ups as it can hold told viewers to return after 1,000 ms (routing/loop.py, _asked), also where the settings allow no such word (RetryAfter) or less (MaxRetryAfterUs). The new test of tests/test_other_settings.py fails without it (the parent's loop takes no such figure).

--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -124,9 +124,10 @@
     """Holds the sessions of one broker; all times are whole microseconds of one clock."""
 
     def __init__(self, module: Decider, edges: Edges, clock: Callable[[], int],
-                 wake_at: Callable[[int], None], period_us: int, classes: frozenset[str]) -> None:
+                 wake_at: Callable[[int], None], period_us: int, classes: frozenset[str], gap_ms: int = 0) -> None:
+        """``gap_ms``: how long viewers are asked to stay away that come while more is open than can be held."""
         self.module, self.edges, self.clock, self.wake_at = module, edges, clock, wake_at
-        self.period_us, self.classes = period_us, classes
+        self.period_us, self.classes, self.gap_ms = period_us, classes, gap_ms
         self.inbox: deque[Inbound] = deque()
         self.table: dict[str, Entry] = {}
         self.by_edge: dict[str, set[str]] = {}
@@ -280,7 +281,7 @@
                 session, "id in use" if used else f"unknown class {request.cls}"))
             return []
         if self.open_set_ups >= MOST_OPEN:
-            self._say(item.viewer, lambda viewer: viewer.refused(session, 1_000))
+            self._say(item.viewer, lambda viewer: viewer.refused(session, self.gap_ms))
             return []
         entry = self.table[session] = Entry(request, item.description, item.viewer)
         self._seat(session, entry)
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from helpers import SECOND, entry, of, request, servers, settings
@@ -18,6 +19,8 @@
     Subscribe,
     TimerFired,
 )
+from lotuspick.routing import loop
+from lotuspick.routing.ports import Asked
 
 NOW = 20 * SECOND
 
@@ -49,6 +52,17 @@
     assert of(made.handle(NOW, [request("a", NOW)]), Send)  # the list held before the failure still stands
 
 
+def test_who_comes_while_all_that_can_be_held_is_open_is_told_to_return_as_the_settings_allow(monkeypatch: Any) -> None:
+    monkeypatch.setattr(loop, "MOST_OPEN", 1)
+    for gap_ms in (0, 700):
+        told = Mock(open=True)
+        made = loop.Loop(Mock(handle=Mock(return_value=[])), Mock(), lambda: 0, lambda at: None, 10, frozenset({"clip"}), gap_ms)
+        made.post(Asked(request("a"), viewer=Mock(open=True)))
+        made.post(Asked(request("b"), viewer=told))
+        made.tick()
+        told.refused.assert_called_once_with("b", gap_ms)
+
+
 def test_seats_are_given_back() -> None:
     made = Controller(settings(classes=[ClassSettings("clip", SECOND, seats=1)]), 1)
     made.handle(0, [ServerList([entry(0)], complete=True)])
