Hold by tests that whoever has left while waiting is sent on nowhere, and end what hides a leave

The plug-in's drop and a dial to an HTTP node are held without a wire.

No leave are: a connection that closes while its sessions stand, and one whose request came again on another connection.

One case was open: over HTTP, with 16 KiB sent behind a request, Twisted stops to read and a leave showed only after the answer (transport/hints.py). The plug-in, too, has viewers stay away as its settings allow where it is full.

--- a/lotuspick/plugin.py
+++ b/lotuspick/plugin.py
@@ -25,7 +25,7 @@
 from lotuspick.control import Controller
 from lotuspick.interface import Guide, PlayerHint, ServerHint, ServerList, SessionRequest, Settings
 from lotuspick.routing.endings import Ending
-from lotuspick.routing.loop import Loop
+from lotuspick.routing.loop import Loop, stay_away_ms
 from lotuspick.routing.ports import (
     Asked,
     Dropped,
@@ -158,7 +158,7 @@
                  period_us: int = PERIOD_US, guide: Guide | None = None) -> None:
         self.clock = clock
         self.loop = Loop(Controller(settings, seed, guide), _Edges(calls), clock, self._wake, period_us,
-                         frozenset(each.name for each in settings.classes))
+                         frozenset(each.name for each in settings.classes), stay_away_ms(settings))
         self._due_us: int | None = None
         self._changed = threading.Condition()
         self._closed = False
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -16,7 +16,7 @@
 from lotuspick.program.parts import BACKLOG, SECOND, assemble
 from lotuspick.protocol.coordinator import Change
 from lotuspick.protocol.rtsp import Terms
-from lotuspick.routing.loop import Loop
+from lotuspick.routing.loop import Loop, stay_away_ms
 from lotuspick.routing.ports import Edges, Roster
 from lotuspick.transport.base import Reactor, now_us, readable
 from lotuspick.transport.coordinator import Feed
@@ -28,7 +28,6 @@
 STAY_S = 0.8  # after SIGTERM requests keep coming for 0.6 s; those up to 0.7 s are owed an answer
 LEAVE_S = 0.35  # what stands is released so long before SIGKILL may come: enough for a thousand releases
 LONGEST_S = 30.0  # no set-up waits longer for its answer
-STAY_AWAY_MS = 1_000  # asked of viewers that come while as many set-ups are open as can be held
 IDLE_PART = 0.9  # this side closes idle connections first: a set-up must not cross the other side's close
 SUMMARY_S = 60  # between summaries of the parts
 
@@ -54,9 +53,8 @@
             edges = part.edges(edges)
             reactor.addSystemEventTrigger("after", "shutdown", part.close)
         self.nodes = frozenset[str]().union(*(part.nodes for part in self.parts))
-        settings = config.settings
         self.loop = Loop(self.module, edges, now_us, self._wake, config.period_us, classes,
-                         min(STAY_AWAY_MS, settings.max_retry_after_us // 1_000) if settings.retry_after else 0)
+                         stay_away_ms(config.settings))
         self.front = RtspFront(reactor, self.post, self.ready, self.terms, config.sockets // 2,
                                self.loop.spare, self.renew)
         self.feed = Feed(reactor, config.coordinator_address, config.index, self._changed)
--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -31,6 +31,7 @@
     SessionRequest,
     SetRung,
     SetTimer,
+    Settings,
     Started,
     Subscribe,
     TimerFired,
@@ -62,6 +63,7 @@
 
 log = logging.getLogger(__name__)
 
+STAY_AWAY_US = 1_000_000  # asked of viewers that come while as many set-ups are open as can be held
 MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
 OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
 UNSETTLED_US = 10_000_000  # an answer to a set-up that was given up may come so late
@@ -72,6 +74,11 @@
 MS = 1_000
 
 
+def stay_away_ms(settings: Settings) -> int:
+    """How long viewers are asked to stay away from a broker that is full, as far as its settings let them be asked."""
+    return min(STAY_AWAY_US, settings.max_retry_after_us) // MS if settings.retry_after else 0
+
+
 class Decider(Protocol):
     """What the loop needs of the module: see :class:`lotuspick.control.Controller`."""
 
--- a/lotuspick/transport/hints.py
+++ b/lotuspick/transport/hints.py
@@ -21,7 +21,7 @@
 from urllib.parse import unquote
 
 from twisted.python.failure import Failure
-from twisted.web import server
+from twisted.web import http, server
 from twisted.web.resource import Resource
 
 from lotuspick.interface import SessionPlaying
@@ -134,11 +134,25 @@
             finish(request, GONE, ending.value.encode())
 
 
+class BoundedChannel(http.HTTPChannel):
+    """One connection. Guards against a leave that is not seen: with as much waiting behind a request as Twisted takes,
+    it stops to read, and hears of no end until that request is answered. Who sends so much on loses the connection."""
+
+    _handlingRequest: bool
+    _dataBuffer: list[bytes]
+
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        if self._handlingRequest and sum(map(len, self._dataBuffer)) > MOST_BYTES:
+            self.forceAbortClient()
+
+
 class BoundedSite(server.Site):
     """Closes what comes over the bound on connections."""
 
     noisy = False
     displayTracebacks = False
+    protocol: Any = BoundedChannel
 
     def __init__(self, tree: Resource, most: int) -> None:
         super().__init__(tree, timeout=IDLE_S)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,6 +20,7 @@
 )
 
 SECOND = 1_000_000
+NOW = 20 * SECOND
 LADDER = (100.0, 200.0, 400.0, 800.0)
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -482,7 +482,7 @@
         if how == "reset":
             reset(self.socket, self.reader)
         else:
-            self.socket.shutdown(socket.SHUT_RDWR)
+            self.socket.shutdown(socket.SHUT_WR if how == "half" else socket.SHUT_RDWR)
 
 
 class Broker(Actor):
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,216 @@
+"""A request whose client has left while it waited is not sent on: by every way in, for whatever it waits."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from unittest.mock import Mock
+
+from helpers import NOW, SECOND, entry, request, settings
+from scenario import World
+from test_scenarios import Scenario
+from twisted.internet.testing import MemoryReactorClock
+
+from lotuspick.interface import ServerList
+from lotuspick.plugin import Plugin
+from lotuspick.routing.endings import Ending
+from lotuspick.routing.ports import SetUp
+from lotuspick.transport.nodes import NodePool
+
+LATE = {"DialTimeoutUs": 8_000_000}
+LEAVES = ("v1 close", "v1 close reset", "v1 close half", "v1 send TEARDOWN s1")
+
+
+class Waits(Scenario):
+    """The edge server's own record is what it hears: the first request that comes there is that of who stayed."""
+
+    def test_for_a_dial(self) -> None:
+        for leave in LEAVES:
+            with self.subTest(leave):
+                self.play(f"""
+                    v1 send SETUP s1 kind=exam left=9000
+                    b expect LINE why="to
+                    {leave}
+                    v2 send SETUP s2 kind=exam left=9000
+                    v2 send OPTIONS
+                    v2 expect 200
+                    e0 send OPEN
+                    e0 expect SETUP s2
+                    e0 expect NOTHING
+                """, rules=LATE, debug=True, e0="silent")
+
+    def test_for_a_server_that_can_be_used(self) -> None:
+        """The last who waits stays, so that what waits is seen to be sent on once there is a server."""
+        for leave in LEAVES:
+            with self.subTest(leave):
+                self.play(f"""
+                    v1 send SETUP s1 kind=exam left=9000
+                    {leave}
+                    v2 send SETUP s2 kind=exam left=9000
+                    c send e0 state=up
+                    e0 expect SETUP s2
+                    e0 expect NOTHING
+                """, e0="draining")
+
+    def test_for_a_further_attempt(self) -> None:
+        for leave in LEAVES:
+            with self.subTest(leave):
+                self.play(f"""
+                    v1 send SETUP s1 kind=exam copies=2 left=9000
+                    e0 expect SETUP s1
+                    v2 send SETUP s2 kind=exam copies=2 left=9000
+                    e0 expect SETUP s2
+                    e0 send RELEASE s1 cause=34
+                    e0 send RELEASE s2 cause=34
+                    {leave}
+                    c send e1 state=up
+                    e1 expect SETUP s2
+                    e1 expect NOTHING
+                """, e0="up", e1="draining")
+
+    def test_unread_behind_a_broker_that_is_held_up(self) -> None:
+        for leave in LEAVES[:3]:
+            with self.subTest(leave):
+                self.play(f"""
+                    v1 send OPTIONS
+                    v1 expect 200
+                    b send STOP
+                    v1 send SETUP s1 kind=exam left=9000
+                    {leave}
+                    v2 send SETUP s2 kind=exam left=9000
+                    b wait 0.4
+                    b send CONT
+                    c send e0 state=up
+                    e0 expect SETUP s2
+                    e0 expect NOTHING
+                """, e0="draining")
+
+    def test_over_http_for_a_dial(self) -> None:
+        for leave in ("p1 close", "p1 close reset"):
+            with self.subTest(leave):
+                self.play(f"""
+                    p1 send SETUP s1 kind=exam left=9000
+                    b expect LINE why="to
+                    {leave}
+                    v2 send SETUP s2 kind=exam left=9000
+                    v2 send OPTIONS
+                    v2 expect 200
+                    e0 send OPEN
+                    e0 expect SETUP s2
+                    e0 expect NOTHING
+                """, hints=True, rules=LATE, debug=True, e0="silent")
+
+    def test_over_http_for_a_server_that_can_be_used(self) -> None:
+        for leave in ("p1 close", "p1 close reset"):
+            with self.subTest(leave):
+                self.play(f"""
+                    p1 send SETUP s1 kind=exam left=9000
+                    p2 send SETUP s2 kind=exam left=9000
+                    v2 send OPTIONS
+                    v2 expect 200
+                    {leave}
+                    v2 send OPTIONS
+                    v2 expect 200
+                    c send e0 state=up
+                    e0 expect SETUP s2
+                    e0 expect NOTHING
+                """, hints=True, e0="draining")
+
+    def test_over_http_with_much_sent_behind_the_request(self) -> None:
+        made = World(hints=True, e0="draining")
+        self.addCleanup(made.end)
+        made.play("p1 send SETUP s1 kind=exam left=9000")
+        made.actor("p1").socket.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n" * 2_000)
+        made.play("""
+            p1 close half
+            v2 send SETUP s2 kind=exam left=9000
+            v2 send OPTIONS
+            v2 expect 200
+            c send e0 state=up
+            e0 expect SETUP s2
+            e0 expect NOTHING
+        """)
+
+
+class NotLeaves(Scenario):
+    """What is no leave."""
+
+    def test_a_connection_that_closes_with_a_session_that_stands(self) -> None:
+        for how in ("close", "close reset", "close half"):
+            with self.subTest(how):
+                self.play(f"""
+                    v1 send SETUP s1 kind=exam
+                    e0 expect SETUP s1
+                    e0 send ANSWER s1 body=one
+                    v1 expect 200 s1
+                    v1 {how}
+                    e0 expect NOTHING
+                    e0 send RELEASE s1 cause=16
+                    v2 expect TEARDOWN s1 why=cause=16
+                """)
+
+    def test_one_that_closes_after_its_request_came_again_on_another(self) -> None:
+        self.play("""
+            v1 send SETUP s1 kind=exam left=9000
+            v1 send OPTIONS
+            v1 expect 200
+            v2 send SETUP s1 kind=exam left=9000
+            v2 send OPTIONS
+            v2 expect 200
+            v1 close
+            v2 send OPTIONS
+            v2 expect 200
+            c send e0 state=up
+            e0 expect SETUP s1
+            e0 send ANSWER s1 body=one
+            v2 expect 200 s1 body=one
+        """, e0="draining")
+
+
+class OtherWays(unittest.TestCase):
+    def test_the_plug_in_starts_no_call_for_what_was_dropped(self) -> None:
+        now, calls = [NOW], Mock()
+        made = Plugin(settings(), 1, calls, clock=lambda: now[0])
+
+        def go_on() -> None:
+            for _ in range(10):
+                made.step()
+                now[0] += 20_000
+
+        told = list[Any]()
+        made.servers(ServerList([entry(0, state="draining")], complete=True))
+        for session in ("left", "stayed"):
+            made.ask(request(session, NOW, copies=1, deadline_us=NOW + 9 * SECOND), told.append)
+        go_on()
+        made.drop("left")
+        made.servers(ServerList([entry(0)]))
+        go_on()
+        self.assertEqual([call.args[1].session for call in calls.start.call_args_list], ["stayed"])
+
+    def test_the_plug_in_cancels_the_call_of_what_was_dropped_once_it_had_begun(self) -> None:
+        now, calls = [NOW], Mock(cancel=Mock(return_value=True))
+        made = Plugin(settings(), 1, calls, clock=lambda: now[0])
+        made.servers(ServerList([entry(0)], complete=True))
+        made.ask(request("a", NOW, copies=1), Mock())
+        for _ in range(3):
+            made.step()
+            now[0] += 20_000
+        made.drop("a")
+        for _ in range(3):
+            made.step()
+            now[0] += 20_000
+        calls.cancel.assert_called_once_with("s0", "a")
+        self.assertEqual(made.loop.table, {})
+
+    def test_an_http_node_that_is_still_dialled_is_dialled_no_more(self) -> None:
+        reactor, posted = MemoryReactorClock(), list[Any]()
+        pool = NodePool(reactor, {"n": "127.0.0.1:9"}, 5.0, posted.append, lambda node: 0)
+        pool.set_up("n", SetUp("0" * 16, "clip", "t", 0, 900, b""))
+        self.assertEqual(len(reactor.tcpClients), 1)
+        pool.give_up("n", "0" * 16)
+        self.assertTrue(reactor.connectors[0].stoppedConnecting)
+        self.assertFalse([each for each in posted if getattr(each, "ending", None) is Ending.NO_ANSWER])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -61,6 +61,9 @@
         made.post(Asked(request("b"), viewer=told))
         made.tick()
         told.refused.assert_called_once_with("b", gap_ms)
+    asked = [loop.stay_away_ms(settings(retry_after=after, max_retry_after_us=most))
+             for after, most in ((False, 2 * SECOND), (True, SECOND // 2), (True, 5 * SECOND))]
+    assert asked == [0, 500, 1_000]
 
 
 def test_seats_are_given_back() -> None:
