Let readings and calm count by the time between notes that the settings name

Seen by the search for seconds fitted to one deployment: CALM_US and FRESH_US (control.py) were 6 and 5 s, for notes that come every 2.3 to 4.3 s; a site whose notes come every 9 s had each reading fade before the next was due. Change: 1.8 and 1.5 times the time between notes, which is what they were on the mean of that range; where none are told, as if they came every 3.3 s.

--- a/lotuspick/control.py
+++ b/lotuspick/control.py
@@ -38,15 +38,15 @@
 WORTH_POWER = 0.5  # power of a class's worth in its bid: below 1 keeps the worst-served class in view
 SHORT_FROM = 0.98  # share delivered under which a line counts as short (where worth begins to be lost)
 CUT_FROM = 0.97  # share delivered under which own sessions are cut, to that: a cut costs a second's worth
-CALM_US = 6_000_000  # us: without a short note before a raise: longer than a neighbour's pauses
+CALM_NOTES = 1.8  # times that time without a short note before a raise: longer than a neighbour's pauses
 RAISE_GAIN = 2.0  # times its cost that a rung up must bring: hints are rough
 STALLED = 0.3  # share delivered under which a server stands still: no reading of a load
 NOTE_US = 1_000_000  # us: a short server tells so often; cuts there are no closer, and by how late notes are
-STALE_NOTES = 1.5  # times the time between load notes after which they count as out
+STALE_NOTES = 1.5  # times the time between load notes after which they count as out, and a reading fades
 LEARN = 0.5  # weight of a new reading of an uplink's size
 GROW = 0.02  # part a second by which a learned uplink grows back while busy and not short: a slow probe
 GROW_AFTER_US = 3_000_000  # us: without a short note before it grows: longer than notes are late
-FRESH_US = 5_000_000  # us: a reading stands so long: notes come every 2 to 5 s
+TELL_US = 3_300_000  # us: time between load notes that is gone by where none is told
 FADE_US = 10_000_000  # us: then it fades to the average in about this time, in which sessions turn over
 UNIT = 1 << 60  # one, in the whole numbers in which averages are kept
 LEAST = 0.05  # share of a line: least load that counts in the average, so an idle one does not outweigh all
@@ -78,8 +78,8 @@
     """Load to expect of a line not heard: the harmonic mean of those heard lately, as busy lines are heard
     more and stalled ones read many times full. Kept in whole numbers: what is taken off leaves nothing."""
 
-    def __init__(self) -> None:
-        self.parts, self.total = dict[Line, int](), 0  # in the order in which they were heard
+    def __init__(self, note_us: int) -> None:  # ``parts`` in the order in which they were heard
+        self.keep_us, self.parts, self.total = int(STALE_NOTES * note_us), dict[Line, int](), 0
 
     def see(self, line: Line, load: float) -> None:
         self.drop(line)
@@ -101,7 +101,7 @@
     """A link or an uplink: what was last heard of its load and what this gateway changed since."""
 
     kb: float  # its size, kB a second
-    mean: Mean | None = None  # the average in which its readings count
+    mean: Mean  # the average in which its readings count
     base: float | None = None  # share asked at the last reading
     seen_us: int = -NEVER
     since_kb: float = 0.0
@@ -121,8 +121,7 @@
         if at_us < self.seen_us:
             return
         self.base, self.seen_us = value, at_us
-        if self.mean is not None:
-            self.mean.see(self, value)
+        self.mean.see(self, value)
         while self.changes and self.changes[0][0] <= at_us:
             self.since_kb -= self.changes.popleft()[1]
 
@@ -131,7 +130,7 @@
         unless own sessions there would bring word of a shortage."""
         base = average if self.base is None else self.base
         if self.base is not None and self.own_kb <= 0:
-            stays = math.exp(min(0.0, (self.seen_us + FRESH_US - now) / FADE_US))
+            stays = math.exp(min(0.0, (self.seen_us + self.mean.keep_us - now) / FADE_US))
             base = average + (self.base - average) * stays
         return max(0.0, base + self.since_kb / self.kb)
 
@@ -223,7 +222,8 @@
         self.steps = {cls.name: self._steps(cls) for cls in settings.classes}
         self.free_from = FREE_FROM
         self.servers, self.by_position = dict[str, Server](), dict[int, list[Server]]()  # there: listed ones
-        self.links, self.uplinks, kb = Mean(), Mean(), settings.uplink_kb or math.inf
+        note_us, kb = settings.tell_us or TELL_US, settings.uplink_kb or math.inf
+        self.links, self.uplinks, self.calm_us = Mean(note_us), Mean(note_us), int(CALM_NOTES * note_us)
         base, seen = (None, -NEVER) if settings.uplink_kb else (0.0, NEVER)  # without a size it is never full
         self.racks = [Rack(kb, self.uplinks, base, seen, told_kb=kb) for _ in range(settings.racks)]
         self.sessions, self.held = dict[str, Session](), dict[str, Session]()
@@ -487,7 +487,7 @@
     def _restore(self, server: Server, fresh: Session | None) -> None:
         """Raise sessions toward the rung admitted at; ``fresh``: one just set up, noted here alone."""
         server.settled_us = self.now
-        if self.now - server.short_us < CALM_US or server.rack.base is None or server.line.base is None:
+        if self.now - server.short_us < self.calm_us or server.rack.base is None or server.line.base is None:
             return
         line = max((server.line, server.rack), key=lambda each: each.load(0.0, self.now))
         busy = line.load(0.0, self.now)
@@ -779,7 +779,7 @@
         session.attempt += 1
         session.state, session.server, session.rung = "sent", server, rung
         # Departure: a rung chosen for a server not heard of lately is a guess, settled by later notes.
-        session.admitted = rung if self.now - server.line.seen_us < FRESH_US else self._top(session)
+        session.admitted = rung if self.now - server.line.seen_us < self.links.keep_us else self._top(session)
         session.tried.append(server.entry.server)
         self.held.pop(name, None)
         server.own[name] = session
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import SECOND, controller, entry, of, place, request, servers, settings
 
-from lotuspick.control import BIND_FROM, CALM_US, FADE_US, FRESH_US, LIMIT, Controller
+from lotuspick.control import BIND_FROM, FADE_US, LIMIT, TELL_US, Controller
 from lotuspick.interface import (
     ClassSettings,
     Ended,
@@ -108,7 +108,7 @@
         made.handle(NOW, [event for name in names
                           for event in (playing(name, ceiling=1), Note(name, "s0", "rung", 0))])
         made.handle(NOW, [request("x", NOW, home=3, copies=1)])
-        raised += len(of(made.handle(NOW + CALM_US, [note("link", 0.6)]), SetRung))
+        raised += len(of(made.handle(NOW + made.calm_us, [note("link", 0.6)]), SetRung))
     # Room up to the level of the rung: some rise, and not so many that the link is short.
     assert 0 < raised <= 12
 
@@ -143,10 +143,20 @@
     made = controller(count=2, loads=0.2)
     made.handle(NOW, [note("link", 2.0)])
     line = made.servers["s0"].line
-    assert line.load(0.2, NOW + FRESH_US // 2) == 2.0
-    assert line.load(0.2, NOW + FRESH_US + 6 * FADE_US) == pytest.approx(0.2, abs=0.01)
+    keep_us = made.links.keep_us
+    assert line.load(0.2, NOW + keep_us // 2) == 2.0
+    assert line.load(0.2, NOW + keep_us + 6 * FADE_US) == pytest.approx(0.2, abs=0.01)
     line.own_kb = 1.0
-    assert line.load(0.2, NOW + FRESH_US + 6 * FADE_US) == 2.0
+    assert line.load(0.2, NOW + keep_us + 6 * FADE_US) == 2.0
+
+
+def test_how_long_readings_and_calm_count_follows_the_time_between_notes() -> None:
+    """A site whose notes come twice as seldom must not take each reading for out before the next is due."""
+    for tell_us in (SECOND, 2 * SECOND, 6 * SECOND):
+        made = controller(tell_us=tell_us)
+        assert made.links.keep_us > tell_us and made.calm_us > made.links.keep_us
+        assert (made.links.keep_us, made.calm_us) == (1.5 * tell_us, 1.8 * tell_us)
+    assert controller(tell_us=0).links.keep_us == 1.5 * TELL_US  # none are told: a usual time stands for it
 
 
 def test_unheard_servers_do_not_count_as_full_while_only_full_ones_are_heard() -> None:
@@ -172,9 +182,9 @@
     place(made, NOW, "a", copies=1, ceiling=2)
     made.handle(NOW, [Started("a", 0, "s0")])
     made.handle(NOW + SECOND, [note("share", 0.7)])
-    early = made.handle(NOW + SECOND + CALM_US // 2, [note("link", 0.1)])
+    early = made.handle(NOW + SECOND + made.calm_us // 2, [note("link", 0.1)])
     assert not of(early, SetRung)
-    late = made.handle(NOW + SECOND + CALM_US + 1, [note("link", 0.1)])
+    late = made.handle(NOW + SECOND + made.calm_us + 1, [note("link", 0.1)])
     assert [action.rung for action in of(late, SetRung)] == [2]
 
 
