--- a/lotuspick/program/config.py
+++ b/lotuspick/program/config.py
@@ -141,7 +141,7 @@
         told = json.loads(Path(named).read_bytes())
     except OSError as error:
         raise ConfigError(f"{named}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{named}: not JSON: {error}") from None
     if not isinstance(told, dict):
         raise ConfigError(f"{named}: not an object")
--- a/lotuspick/program/seats.py
+++ b/lotuspick/program/seats.py
@@ -42,8 +42,9 @@
 
 
 @app.command()
-def issue(seat: str, viewer: str, tenant: str, lesson: str, cls: str = "asistencia", keys: Keys = Path("keys"),
-          audience: Audience = "lotuspick", minutes: Minutes = 180.0) -> None:
+def issue(seat: str, viewer: str, tenant: str, lesson: str,
+          cls: Annotated[str, typer.Option(help="The class whose sessions it is for, as the settings name it.")],
+          keys: Keys = Path("keys"), audience: Audience = "lotuspick", minutes: Minutes = 180.0) -> None:
     """Sign a token of a seat, and print it."""
     folder, now = KeyFolder(keys), int(time.time())
     try:
