Have a planned end wait for what lies unread on the second front too

Seen by reading program/daemon.py: an end looked for unread requests on RTSP connections alone, and the HTTP listener stayed open to the last, so that a request over HTTP that came while the broker was held up ended with it (program/parts.py, HintsPart). Change: a part tells whether something has come to it that it has not looked at, and the HTTP listener closes at the end. With the new word answered by `no`, as it was, the case of a connection not taken yet fails (seen); tests/test_held_up.py holds both.

--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -137,7 +137,8 @@
 
     def _unread(self) -> bool:
         """Whether a connection or a message has come that was not looked at yet."""
-        return self.front.unread() or readable(self.listener.fileno())
+        return (self.front.unread() or readable(self.listener.fileno())
+                or any(part.unread() for part in self.parts))
 
     def _tick(self, told: int) -> None:
         """Have the parts do what is due, and log what they have to say, with a summary now and then."""
--- a/lotuspick/program/parts.py
+++ b/lotuspick/program/parts.py
@@ -18,7 +18,7 @@
 from lotuspick.program.config import Config
 from lotuspick.protocol.rtsp import Terms
 from lotuspick.routing.ports import Directory, Edges, Inbound, Tenants
-from lotuspick.transport.base import Reactor, now_us
+from lotuspick.transport.base import Reactor, now_us, readable
 
 if TYPE_CHECKING:
     from lotuspick.cells.model import Plan
@@ -75,6 +75,10 @@
         """Take over what it can of a configuration that was read again; returns ``taken`` with that in it."""
         return taken
 
+    def unread(self) -> bool:
+        """Whether a request has come to this part that it has not looked at yet."""
+        return False
+
     def finish(self) -> None:
         """A planned end: nothing is owed any more, and what is said now still leaves."""
 
@@ -154,10 +158,16 @@
         from lotuspick.transport.hints import HintsFront
 
         broker, told = self.broker, self.broker.config
-        hints = HintsFront(broker.reactor, broker.post, broker.ready, broker.terms, broker.renew)
-        front = broker.reactor.listenTCP(told.hints.port, hints.site(told.sockets // 6), backlog=BACKLOG,
-                                         interface=told.hints.host)
-        log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(front.getHost())})
+        self.site = HintsFront(broker.reactor, broker.post, broker.ready, broker.terms,
+                               broker.renew).site(told.sockets // 6)
+        self.door = broker.reactor.listenTCP(told.hints.port, self.site, backlog=BACKLOG, interface=told.hints.host)
+        log.info("hints front", extra={"listen": "{0.host}:{0.port}".format(self.door.getHost())})
+
+    def unread(self) -> bool:
+        return readable(self.door.fileno(), *self.site.descriptors)
+
+    def finish(self) -> None:
+        self.door.stopListening()
 
 
 class TenantsPart(Part):
--- a/lotuspick/transport/hints.py
+++ b/lotuspick/transport/hints.py
@@ -116,7 +116,7 @@
         self.players: dict[str, HttpPlayer] = {}
         self.ended: OrderedDict[str, Ending] = OrderedDict()
 
-    def site(self, most: int) -> server.Site:
+    def site(self, most: int) -> BoundedSite:
         site = BoundedSite(Tree(self), most)
         site.requestFactory = BoundedRequest
         return site
@@ -156,20 +156,25 @@
 
     def __init__(self, tree: Resource, most: int) -> None:
         super().__init__(tree, timeout=IDLE_S)
-        self.most, self.connections = most, 0
+        self.most, self.channels = most, set[Any]()
+
+    @property
+    def descriptors(self) -> list[int]:
+        """The sockets of all connections."""
+        return [channel.transport.fileno() for channel in self.channels if channel.transport is not None]
 
     def log(self, request: object) -> None:
         """No access log: what matters is logged where it happens."""
 
     def buildProtocol(self, addr: object) -> Any:
-        if self.connections >= self.most:
+        if len(self.channels) >= self.most:
             return None
         channel: Any = super().buildProtocol(addr)
-        self.connections += 1
+        self.channels.add(channel)
         lost = channel.connectionLost
 
         def counted(reason: Failure) -> None:
-            self.connections -= 1
+            self.channels.discard(channel)
             lost(reason)
 
         channel.connectionLost = counted
--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -25,6 +25,8 @@
 
 
 class Stepped(unittest.TestCase):
+    hints = False
+
     def setUp(self) -> None:
         clock = patch.object(base, "ANCHOR_NS", base.ANCHOR_NS)
         clock.start()
@@ -46,7 +48,9 @@
             "coordinator": f"127.0.0.1:{self.coordinator.getsockname()[1]}",
             "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"version": 1, "full": True, "servers": [entry]}}]},
         }))
-        files = Files(path)
+        front = Path(folder.name, "hints.toml")
+        front.write_text('enabled = true\nlisten = "127.0.0.1:0"\n')
+        files = Files(path, front if self.hints else None)
         with patch.dict(os.environ, {"PROXY_NAME": "n0"}, clear=False):
             for key in ("PROXY_CONFIG", "PROXY_LISTEN", "PROXY_NAME"):
                 os.environ.pop(key, None)
@@ -70,9 +74,9 @@
         made.settimeout(PATIENCE)
         return made
 
-    def call(self) -> socket.socket:
+    def call(self, port: int = 0) -> socket.socket:
         """A viewer's connection."""
-        made = socket.create_connection(("127.0.0.1", self.port), timeout=PATIENCE)
+        made = socket.create_connection(("127.0.0.1", port or self.port), timeout=PATIENCE)
         self.addCleanup(made.close)
         return made
 
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -78,5 +78,31 @@
         self.assertEqual((self.daemon.loop.table, self.daemon.loop.open_set_ups), ({}, 0))
 
 
+class HeldUpOverHttp(Stepped):
+    hints = True
+    POST = (b"POST /media/aa00 HTTP/1.1\r\nHost: x\r\nSession: 0000000000000001\r\nP-Kind: exam\r\nP-Time-Left: 5000\r\n"
+            b"P-Path: home:0;copies:1;top:2\r\nContent-Length: 2\r\n\r\nof")
+
+    def test_what_came_before_an_end_and_was_not_looked_at_is_served(self) -> None:
+        for known in (True, False):
+            with self.subTest(known=known):
+                self.doCleanups()
+                self.setUp()
+                player = self.call(self.daemon.parts[0].door.getHost().port)
+                if known:
+                    player.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    self.hears(player, b" 200 ")
+                self.daemon.stop()
+                player.sendall(self.POST)
+                self.held_up(0.9)
+                self.timers()
+                edge = self.take()
+                self.hears(edge, ID)
+                edge.sendall(frame(ANSWER))
+                self.hears(player, b"good")
+                edge.sendall(frame(b"\x0c" + ID + b"\x80\x00\x01\x10"))
+                self.until(lambda: self.stopped)
+
+
 if __name__ == "__main__":
     unittest.main()
