--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 import unittest
 from typing import Any
 from unittest.mock import Mock
 
+from stepped import Stepped
+from test_held_up import ANSWER, ID, SETUP, frame
 from test_scenarios import Malformed, Scenario
 from twisted.internet import error
 from twisted.internet.task import Clock
@@ -14,9 +18,11 @@
 
 from lotuspick.protocol import rtsp
 from lotuspick.routing.endings import Ending
-from lotuspick.routing.ports import ViewerLost
+from lotuspick.routing.ports import Asked, EdgeAnswered, ViewerLost
+from lotuspick.transport.base import readable
 from lotuspick.transport.viewers import UNREAD_S, RtspFront, RtspViewer
 
+OTHER = bytes.fromhex("0000000000000002")
 ROOM = {"PlacesByKind": [100], "WeightKb": 100_000.0}
 
 
@@ -70,6 +76,55 @@
                 """)
 
 
+class Unread(Stepped):
+    """The other side closes, which lies unread when something is written there."""
+
+    def test_a_set_up_written_to_a_server_that_has_closed_is_answered_once_and_runs_once(self) -> None:
+        for reset, kind, answer in ((False, b"exam", b" 500 "), (True, b"exam", b" 500 "), (False, b"clip", b" 453 ")):
+            with self.subTest(reset=reset, kind=kind):
+                self.doCleanups()
+                self.setUp()
+                viewer, second = self.call(), self.call()
+                viewer.sendall(SETUP % 9_000)
+                edge = self.take()
+                self.hears(edge, ID)
+                edge.sendall(frame(ANSWER))
+                self.hears(viewer, b" 200 ")
+                second.sendall((SETUP % 2_000).replace(b"exam", kind).replace(b"0000000000000001", OTHER.hex().encode()))
+                self.until(lambda: any(isinstance(each, Asked) for each in self.daemon.loop.inbox))
+                if reset:
+                    edge.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                edge.close()
+                self.daemon.loop.tick()  # before the close is read
+                self.assertIn(OTHER.hex(), self.daemon.edges.links["s-e0"].open)
+                again = self.take()  # the session that stands has it dialled anew
+                self.hears(second, answer)
+                again.settimeout(0.0)
+                self.assertNotIn(b"\x01" + OTHER, again.recv(65536) if readable(again.fileno()) else b"")
+
+    def test_a_viewer_that_has_closed_when_its_answer_is_written_leaves_the_rest_alone(self) -> None:
+        for reset in (False, True):
+            with self.subTest(reset=reset):
+                self.doCleanups()
+                self.setUp()
+                viewer, second = self.call(), self.call()
+                viewer.sendall(SETUP % 9_000)
+                edge = self.take()
+                self.hears(edge, ID)
+                edge.sendall(frame(ANSWER))
+                self.until(lambda: any(isinstance(each, EdgeAnswered) for each in self.daemon.loop.inbox))
+                if reset:
+                    viewer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                viewer.close()
+                self.daemon.loop.tick()  # the answer is written before the close is read
+                self.until(lambda: len(self.daemon.front.viewers) == 1)
+                self.until(lambda: not self.daemon.loop.inbox)
+                self.assertTrue(self.daemon.loop.table[ID.hex()].stands, "a session belongs to no connection")
+                edge.sendall(frame(b"\x0c" + ID + b"\x80\x00\x01\x10"))
+                self.hears(second, b"TEARDOWN")  # its end is told on another
+                self.assertEqual(self.daemon.loop.table, {})
+
+
 class Pipe(StringTransport):
     """A transport whose end comes when the test says so."""
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -7,10 +7,11 @@
 from typing import Any
 from unittest.mock import Mock
 
-from helpers import request
+from helpers import SECOND, controller, of, request, servers, settings
 from test_scenarios import Scenario
 
-from lotuspick.interface import Ended, Send, SessionRequest, Started, ViewerGone
+from lotuspick.control import Controller
+from lotuspick.interface import ClassSettings, Ended, Fail, Send, SessionRequest, Started, TimerFired, ViewerGone
 from lotuspick.routing.endings import Ending
 from lotuspick.routing.loop import Loop
 from lotuspick.routing.ports import Asked, EdgeAnswered, EdgeReleased, ViewerLost
@@ -129,6 +130,29 @@
         self.assertTrue(self.loop.table["s"].stands)
 
 
+class Decisions(unittest.TestCase):
+    """What of this the core alone rules out."""
+
+    def test_no_session_goes_to_one_server_twice(self) -> None:
+        made = controller(count=1)
+        now = 20 * SECOND
+        sent = of(made.handle(now, [request("a", now, copies=1)]), Send)
+        for again in range(1, 9):  # it has long been well again
+            told = [Ended("a", 0, "s0", "full")] if again == 1 else [TimerFired(token) for token in list(made.timers)]
+            sent += of(made.handle(now + again * SECOND // 2, told), Send)
+        self.assertEqual([each.server for each in sent], ["s0"])
+
+    def test_what_may_have_run_is_sent_again_for_no_class_but_the_safe_one(self) -> None:
+        for effect, again in (("safe", 1), ("keyed", 0), ("paid", 0)):
+            made = Controller(settings(classes=[ClassSettings("clip", SECOND, effect=effect, group="zone",
+                                                              group_window_us=50_000)]), 1)
+            made.handle(0, [servers()])
+            now = 20 * SECOND
+            [first] = of(made.handle(now, [request("a", now)]), Send)
+            later = made.handle(now + 10_000, [Ended("a", 0, first.server, "lost")])
+            self.assertEqual((len(of(later, Send)), len(of(later, Fail))), (again, 1 - again), effect)
+
+
 class Attempts(unittest.TestCase):
     def test_what_is_unsettled_is_kept_by_server_and_forgotten_in_time(self) -> None:
         made = Unsettled()
