Leave the answer to an open request with the connection that asked first

At fault, by reading, where the contents are the same too (routing/loop.py, _asked): the request went over to the stranger, whose second copy then had its connection closed and the request given up, so that its viewer heard nothing.

Change: a copy on another connection is noted and takes nothing while the first is open.

The scenario of a set-up sent again after a close had never closed the first connection: it asked for the theft.

--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -11,7 +11,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from lotuspick.interface import (
@@ -66,6 +66,7 @@
 STAY_AWAY_US = 1_000_000  # asked of viewers that come while as many set-ups are open as can be held
 MOST_OPEN = 2_000  # set-ups open at once; with 16 KiB each they stay far inside the memory limit
 OWED_US = 8_000_000  # a release that finds no viewer connection is of no use after this
+AGAIN_US = 100_000  # a copy that came so long before its request's connection ended is its viewer's: 50 ms by the page
 UNSETTLED_US = 10_000_000  # an answer to a set-up that was given up may come so late
 QUIET_US = 100_000  # a connection on which a message came within this is not closed for a newcomer: its next may cross
 SHARED = 3  # a connection with more set-ups and sessions than this is one that many share ...
@@ -99,6 +100,7 @@
     written_us: int = 0  # later where a connection had to come up first
     out: bool = False  # an attempt is out
     stands: bool = False
+    again: dict[Viewer, int] = field(default_factory=dict)  # other connections on which it came while open, and when
 
 
 @dataclass(slots=True, eq=False)
@@ -270,15 +272,16 @@
         if isinstance(request, SessionPlaying):
             return self._handed_over(request, held, item.viewer, now)
         if held is not None and not held.stands and item.viewer is not None:
-            if item.viewer is held.viewer:
+            if item.viewer is held.viewer or item.viewer in held.again:
                 item.viewer.abandon(f"Session {session} is asked for twice")  # which answer would be whose?
                 return []
             if self._same(held, item):
-                # Sent again after a close that it crossed: one request, one answer. Guards against a stranger
-                # that names another's open id and would get its answer: nobody else knows the description.
-                self._unseat(session, held)
-                held.viewer = item.viewer
-                self._seat(session, held)
+                # Sent again after a close that it crossed: one request, one answer. Guards against a stranger that
+                # sends what it saw of another and would get its answer: the first connection keeps it while it is open.
+                held.again[item.viewer] = now
+                self._seat(session, item.viewer)
+                if held.viewer is not None and not held.viewer.open:
+                    self._pass_on(session, held, now)
                 return []
         # Guards against a paid set-up that goes out twice: its viewer left, or lost its connection, and comes again
         # under the same name while the attempt made for it may still run.
@@ -291,11 +294,22 @@
             self._say(item.viewer, lambda viewer: viewer.refused(session, self.gap_ms))
             return []
         entry = self.table[session] = Entry(request, item.description, item.viewer)
-        self._seat(session, entry)
+        self._seat(session, entry.viewer)
         self.open_set_ups += 1
         self._after(request.deadline_us, lambda later: self._overdue(session, request))
         return [request]
 
+    def _pass_on(self, session: str, entry: Entry, now: int) -> bool:
+        """The connection of an open request has ended: go on on the one on which it came again, if that was just
+        before. False: its viewer has left."""
+        for viewer, came_us in entry.again.items():
+            if viewer.open and now - came_us <= AGAIN_US:
+                self._unseat(session, entry.viewer)
+                entry.viewer = viewer
+                del entry.again[viewer]
+                return True
+        return False
+
     def _same(self, held: Entry, item: Asked) -> bool:
         return (held.description == item.description
                 and replace(held.request, deadline_us=0) == replace(item.request, deadline_us=0))
@@ -306,7 +320,7 @@
             return []
         entry = Entry(request, viewer=viewer, edge=request.server, attempt=0, sent_us=now, written_us=now, stands=True)
         self._put(request.session, entry)
-        self._seat(request.session, entry)
+        self._seat(request.session, entry.viewer)
         self.edges.watch(request.server)
         return [request]
 
@@ -331,10 +345,13 @@
         events: list[Event] = []
         for session in sorted(self.by_viewer.get(item.viewer, ())):
             entry = self.table[session]
-            if entry.stands:
-                self._unseat(session, entry)
+            if entry.viewer is not item.viewer:
+                del entry.again[item.viewer]
+                self._unseat(session, item.viewer)
+            elif entry.stands:
+                self._unseat(session, item.viewer)
                 entry.viewer = None
-            else:
+            elif not self._pass_on(session, entry, now):
                 events.extend(self._give_up(session, entry))
         return events
 
@@ -374,8 +391,8 @@
 
     def _answered(self, item: EdgeAnswered, now: int) -> list[Event]:
         entry, told = self.table.get(item.session), list[Event]()
-        if (entry is not None and entry.edge == item.edge and entry.out
-                and entry.viewer is not None and not entry.viewer.open):
+        if (entry is not None and entry.edge == item.edge and entry.out and entry.viewer is not None
+                and not entry.viewer.open and not self._pass_on(item.session, entry, now)):
             # Its viewer left, which is not told yet. Guards against a session that stands for nobody.
             told, entry = self._give_up(item.session, entry), None
         if entry is None or entry.edge != item.edge or not entry.out:
@@ -388,6 +405,7 @@
             return told
         entry.out, entry.stands = False, True
         self.open_set_ups -= 1
+        self._drop_copies(item.session, entry)
         self._say(entry.viewer, lambda viewer: viewer.served(item.session, item.description))
         entry.description = b""
         return [Started(item.session, entry.attempt, item.edge, now - entry.sent_us)]
@@ -493,18 +511,24 @@
         _discard(self.by_edge, entry.edge, session)
         entry.edge = ""
 
-    def _seat(self, session: str, entry: Entry) -> None:
-        if entry.viewer is not None:
-            self.by_viewer.setdefault(entry.viewer, set()).add(session)
+    def _seat(self, session: str, viewer: Viewer | None) -> None:
+        if viewer is not None:
+            self.by_viewer.setdefault(viewer, set()).add(session)
+
+    def _unseat(self, session: str, viewer: Viewer | None) -> None:
+        if viewer is not None:
+            _discard(self.by_viewer, viewer, session)
 
-    def _unseat(self, session: str, entry: Entry) -> None:
-        if entry.viewer is not None:
-            _discard(self.by_viewer, entry.viewer, session)
+    def _drop_copies(self, session: str, entry: Entry) -> None:
+        for viewer in entry.again:
+            self._unseat(session, viewer)
+        entry.again.clear()
 
     def _forget(self, session: str, entry: Entry) -> None:
         if self.table.get(session) is entry:
             del self.table[session]
-            self._unseat(session, entry)
+            self._unseat(session, entry.viewer)
+            self._drop_copies(session, entry)
             if not entry.stands:
                 self.open_set_ups -= 1
         self._leave(session, entry)
@@ -515,6 +539,8 @@
 
     def _answer(self, session: str, entry: Entry, what: Callable[[Viewer], None]) -> None:
         """The request's one final answer; an attempt that is out is taken back."""
+        if entry.viewer is not None and not entry.viewer.open:
+            self._pass_on(session, entry, self.clock())
         self._say(entry.viewer, what)
         if entry.out:
             attempt = self._take_back(session, entry, Ending.OVERRULED, final=True)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -154,10 +154,12 @@
             v1 send SETUP s1 kind=exam left=9000
             v1 send OPTIONS
             v1 expect 200
-            v2 send SETUP s1 kind=exam left=9000
             v2 send OPTIONS
             v2 expect 200
+            b send STOP
+            v2 send SETUP s1 kind=exam left=9000
             v1 close
+            b send CONT
             v2 send OPTIONS
             v2 expect 200
             c send e0 state=up
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -13,7 +13,7 @@
 from lotuspick.control import Controller
 from lotuspick.interface import ClassSettings, Ended, Fail, Send, SessionRequest, Started, TimerFired, ViewerGone
 from lotuspick.routing.endings import Ending
-from lotuspick.routing.loop import Loop
+from lotuspick.routing.loop import AGAIN_US, Loop
 from lotuspick.routing.ports import Asked, EdgeAnswered, EdgeReleased, ViewerLost
 from lotuspick.routing.unsettled import Unsettled
 
@@ -75,10 +75,12 @@
 
     def test_one_that_came_on_another_connection_first_outlives_the_old_one(self) -> None:
         self.play(ASKED + """
-            v2 send SETUP s1 kind=exam left=8000 body=mine
             v2 send OPTIONS
             v2 expect 200
-            v1 close reset
+            b send STOP
+            v2 send SETUP s1 kind=exam left=8000 body=mine
+            v1 close
+            b send CONT
             e0 expect NOTHING
             e0 send ANSWER s1 body=one
             v2 expect 200 s1 body=one
@@ -113,6 +115,32 @@
         self.assertEqual([each.session for each in self.told if isinstance(each, ViewerGone)], ["s"])
         self.assertEqual((self.loop.table, self.loop.open_set_ups), ({}, 0))
 
+    def test_a_copy_goes_on_for_a_connection_that_ends_just_after_it_and_never_for_one_that_stays(self) -> None:
+        for gap_us, told in ((0, True), (AGAIN_US, True), (AGAIN_US + 1, False)):
+            self.setUp()
+            now = [1_000]
+            self.loop.clock = lambda now=now: now[0]
+            first, second = Mock(open=True), Mock(open=True)
+            self.play(Asked(request("s", cls="exam"), viewer=first), Asked(request("s", cls="exam"), viewer=second))
+            now[0] += gap_us
+            first.open = False
+            self.play(ViewerLost(first), EdgeAnswered("e", "s", b"one"))
+            first.served.assert_not_called()
+            self.assertEqual((second.served.called, "s" in self.loop.table), (told, told))
+            self.play(ViewerLost(second))
+            self.assertEqual(self.loop.by_viewer, {})
+
+    def test_what_becomes_of_a_copy_s_connection_costs_the_request_nothing(self) -> None:
+        first, second, third = (Mock(open=True) for _ in range(3))
+        self.play(*(Asked(request("s", cls="exam"), viewer=each) for each in (first, second, second, third)))
+        second.abandon.assert_called_once()
+        first.abandon.assert_not_called()
+        second.open = third.open = False
+        self.play(ViewerLost(second), ViewerLost(third), EdgeAnswered("e", "s", b"one"))
+        first.served.assert_called_once_with("s", b"one")
+        self.play(EdgeReleased("e", "s", Ending.EDGE_ERROR, Ending.FINISHED))
+        self.assertEqual((self.loop.table, self.loop.by_viewer), ({}, {}))
+
     def test_a_request_and_the_word_that_its_viewer_left_in_one_look_send_nothing(self) -> None:
         viewer = Mock(open=True)
         self.play(Asked(request("s", cls="exam"), viewer=viewer), ViewerLost(viewer))
