Look at a flood of copies only until its connection is closed

A pipe holds 64 KB: a broker that fills it waits in write, and with it all that it was asked. At fault: Loop._asked, which went on after the connection was closed, and RtspViewer._malformed, which told of each. That the pipe was full is likely and not seen.

Change: a request whose viewer has ended is passed over, and a connection's malformed input is told once. One flood costs one line. The new test fails without it (200 looks, 199 words).

--- a/lotuspick/routing/loop.py
+++ b/lotuspick/routing/loop.py
@@ -271,6 +271,8 @@
             seat.asked += 1
         if isinstance(request, SessionPlaying):
             return self._handed_over(request, held, item.viewer, now)
+        if item.viewer is not None and not item.viewer.open:
+            return []  # it has left. Guards against a flood that costs a line and an answer for each of its copies
         if held is not None and not held.stands and item.viewer is not None:
             if item.viewer is held.viewer or item.viewer in held.again:
                 item.viewer.abandon(f"Session {session} is asked for twice")  # which answer would be whose?
--- a/lotuspick/transport/viewers.py
+++ b/lotuspick/transport/viewers.py
@@ -155,8 +155,8 @@
 
     def _malformed(self, fault: str) -> None:
         """The framing cannot be trusted any more: say so and close."""
-        log.info("malformed input from a viewer", extra={"fault": fault})
-        if self.open:
+        if self.open:  # once for each connection
+            log.info("malformed input from a viewer", extra={"fault": fault})
             self._write(rtsp.response(rtsp.BAD_REQUEST, "0", why=fault))
             self.finish()
             self.clearLineBuffer()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -141,6 +141,15 @@
         self.play(EdgeReleased("e", "s", Ending.EDGE_ERROR, Ending.FINISHED))
         self.assertEqual((self.loop.table, self.loop.by_viewer), ({}, {}))
 
+    def test_a_flood_of_copies_is_looked_at_until_its_connection_is_closed_and_no_further(self) -> None:
+        """Each would cost a line: some hundred fill the pipe that they go to, and the whole broker waits for it."""
+        viewer = Mock(open=True)
+        viewer.abandon = Mock(side_effect=lambda why: setattr(viewer, "open", False))
+        self.play(*(Asked(request("s", cls="exam"), viewer=viewer) for _ in range(200)), ViewerLost(viewer))
+        viewer.abandon.assert_called_once()
+        viewer.failed.assert_not_called()
+        self.assertEqual((self.loop.table, self.loop.by_viewer), ({}, {}))
+
     def test_a_request_and_the_word_that_its_viewer_left_in_one_look_send_nothing(self) -> None:
         viewer = Mock(open=True)
         self.play(Asked(request("s", cls="exam"), viewer=viewer), ViewerLost(viewer))
