Reproduce how floods stop a broker: nobody reads its lines, and they fill their pipe

tests/test_closing.py, Floods: a real broker whose standard error is read up to `serving` and no further; eight clients send one set-up two hundred times each; then a viewer asks.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import struct
 import unittest
 from typing import Any
 from unittest.mock import Mock
 
+from scenario import Broker, World
 from stepped import Stepped
 from test_held_up import ANSWER, ID, SETUP, frame
 from test_scenarios import Malformed, Scenario
@@ -76,6 +78,38 @@
                 """)
 
 
+class Deaf(Broker):
+    """A broker whose lines nobody reads, once it serves: they fill their pipe, and whoever writes more waits."""
+
+    def read(self) -> None:
+        assert self.process.stderr is not None
+        while not (said := re.search(r"msg=serving .*listen=127\.0\.0\.1:(\d+)", self.process.stderr.readline())):
+            pass
+        self.heard.put(("serving", "", {"port": said[1]}))
+
+
+class Floods(unittest.TestCase):
+    def test_floods_cost_others_nothing_though_nobody_reads_the_lines(self) -> None:
+        world = World()
+        self.addCleanup(world.end)
+        world.broker.process.kill()
+        world.broker.expect("EXIT", "", {})
+        world.broker = world.actors["b"] = Deaf(world, world.command, world.environment)
+        world.listen = ("127.0.0.1", world.broker.port())
+        copy = SETUP % 9_000
+        for flood in range(1, 9):
+            copies = copy.replace(ID.hex().encode(), b"%016x" % (100 + flood)) * 200
+            world.play(f"""
+                v{flood} send RAW {copies!r}
+                v{flood} expect 400 reason=~twice
+                v{flood} expect CLOSED
+            """)
+        world.play("""
+            v20 send SETUP s1 home=3 kind=exam left=1500
+            v20 expect 453 s1
+        """)
+
+
 class Unread(Stepped):
     """The other side closes, which lies unread when something is written there."""
 
