Add review case 2: a set-up whose connection is closed while another is incomplete

Cause: the broker closes a viewer's connection 2.0 s after an incomplete message began, and cancels the set-ups that are open on it. Change: a script that shows the case. The program is unchanged.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,63 @@
+"""A set-up whose connection the broker closes, because the next message on it comes in pieces."""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from standins import Broker, Coordinator, EdgeServer, Record, Viewer, run_case, settings
+
+FIRST, SECOND = "00000000000000a1", "00000000000000a2"
+TIME_LEFT_MS = 3_000
+ANSWER_AFTER_S = 2.5
+PIECES, PIECE_EVERY_S = 11, 0.204  # the last piece follows 2.04 s after the first
+
+
+def play(record: Record, trouble: bool) -> list[str]:
+    """Send a paid set-up, then a second one on the same connection, in pieces if there is trouble."""
+    servers = [EdgeServer(record, f"s-{cell}", cell, ANSWER_AFTER_S) for cell in range(3)]
+    coordinator = Coordinator(record)
+    coordinator.publish([server.entry() for server in servers], full=True)
+    broker = Broker(record, coordinator, settings())
+    try:
+        broker.wait_until_ready()
+        viewer = Viewer(record, broker.port)
+        taken_s = viewer.send(
+            viewer.set_up(FIRST, "asistencia", "aa01", 0, TIME_LEFT_MS, 3), f"SETUP {FIRST}"
+        )
+        time.sleep(0.05)
+        second = viewer.set_up(SECOND, "repaso", "aa02", 0, 5_000, 3)
+        if trouble:
+            size = -(-len(second) // PIECES)
+            for start in range(0, len(second), size):
+                if start:
+                    time.sleep(PIECE_EVERY_S)
+                end = min(start + size, len(second))
+                viewer.send(second[start:end], f"bytes {start} to {end} of {len(second)} of SETUP {SECOND}")
+        else:
+            viewer.send(second, f"SETUP {SECOND}")
+        viewer.wait_for(lambda: FIRST in viewer.answers, taken_s + TIME_LEFT_MS / 1_000 + 0.55 - time.time())
+        time.sleep(0.2)
+        runs = [session for server in servers for _, session in server.ran if session == FIRST]
+        record.add("case", f"{FIRST}: answers {viewer.answers.get(FIRST, [])}, runs {len(runs)}")
+        broken = []
+        if viewer.closed_s and FIRST not in viewer.answers:
+            broken.append(
+                f"lost: {FIRST} was taken, and its connection ended {viewer.closed_s - taken_s:.3f} s later "
+                f"without an answer; its viewer still waited ({TIME_LEFT_MS} ms)"
+            )
+        elif len(viewer.answers.get(FIRST, [])) != 1:
+            broken.append(f"lost: {FIRST} has {len(viewer.answers.get(FIRST, []))} answers")
+        return broken
+    finally:
+        broker.end()
+        coordinator.end()
+        for server in servers:
+            server.end()
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(Path(__file__).resolve().parent, play))
