--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 
 from standins import HOST, Broker, Coordinator, EdgeServer, Record, Viewer, run_case, settings
 
-BAD_CLIENTS = 12
+BAD_CLIENTS = 16
 REQUESTS_AT_ONCE = 900  # of each bad client
 TIME_LEFT_MS = 3_000
 SLACK_S = 0.55  # half a second after its time, and the 50 ms of the rules on sockets
