Remove from the review's stand-ins what no case uses

Need: parts of the stand-ins served trials that are not among the three cases. Change: the lateness and outage of the coordinator and the end of an edge server's process go out.

--- a/review/standins.py
+++ b/review/standins.py
@@ -29,7 +29,6 @@
 CLASS, WAIT, TITLE, TOPIC, REPORT, RUNG_INDEX, VALUE, CAUSE, DESCRIPTION = (
     100, 102, 108, 114, 118, 122, 124, 128, 130,
 )  # fmt: skip
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 READY_S = 30.0
 LIMIT_S = 110
 SHOWN_SERVERS = 5
@@ -115,13 +114,11 @@
         self.released: list[tuple[str, int]] = []  # releases to send also on the next connection
         self.late_next = ""  # class of the next set-up that is answered ``LATE_ANSWER_S`` after it
         self.stops_short = False  # whether that answer stops short; its connection stays open
-        self.cut: list[str] = []  # sessions that stood when the process ended
-        self.life = 0
         self.last_note_s = 0.0
         self.port = free_port()
         self.address = f"{HOST}:{self.port}"
         self.listener = self._listen(64)
-        threading.Thread(target=self._accept, args=(self.listener, self.life), daemon=True).start()
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
         threading.Thread(target=self._tell, daemon=True).start()
 
     def entry(self, state: str = "in_service", started_ms: int = 0) -> dict[str, Any]:
@@ -138,21 +135,6 @@
         listener.listen(backlog)
         return listener
 
-    def die(self) -> None:
-        """End the process: its connections are reset, and its sessions are cut."""
-        self.record.add(self.name, f"its process ends; sessions cut: {sorted(self.sessions)}")
-        with self.lock:
-            self.life += 1
-            self.cut = sorted(self.sessions)
-            self.sessions.clear()
-            self.open.clear()
-            old, self.connections = self.connections, []
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-        for connection in old:
-            self._reset(connection)
-
     def end(self) -> None:
         """Close everything."""
         for one in (self.listener, *self.connections):
@@ -181,14 +163,6 @@
             time.sleep(self.note_every_s)
             self.tell()
 
-    @staticmethod
-    def _reset(connection: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            connection.shutdown(socket.SHUT_RD)
-        with contextlib.suppress(OSError):
-            connection.close()
-
     def _send(self, connection: socket.socket, kind: int, session: str, parameters: dict[int, bytes]) -> None:
         """Send on the connection of the set-up, otherwise on any open connection."""
         with self.lock:
@@ -203,15 +177,12 @@
                     candidate.sendall(encode(kind, session, parameters))
                     return
 
-    def _accept(self, listener: socket.socket, life: int) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
                 connection, _ = listener.accept()
             except OSError:
                 return
-            if life != self.life:
-                connection.close()
-                return
             with self.lock:
                 self.connections.append(connection)
                 released, self.released = self.released, []
@@ -219,17 +190,16 @@
             for session, cause in released:
                 with contextlib.suppress(OSError):
                     connection.sendall(encode(RELEASE, session, {CAUSE: bytes((cause,))}))
-            threading.Thread(target=self._read, args=(connection, life), daemon=True).start()
+            threading.Thread(target=self._read, args=(connection,), daemon=True).start()
 
-    def _read(self, connection: socket.socket, life: int) -> None:
+    def _read(self, connection: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while head := read_exactly(connection, 2):
                 arrived_s = time.time()
                 frame = read_exactly(connection, struct.unpack(">H", head)[0])
                 if not frame:
                     break
-                if life == self.life:
-                    self._receive(connection, frame, arrived_s)
+                self._receive(connection, frame, arrived_s)
         with self.lock:  # the set-ups that are open on a closed connection are given up
             if connection in self.connections:
                 self.connections.remove(connection)
@@ -251,9 +221,9 @@
                 self.open[session] = connection
             if fields["class"] == self.late_next:
                 self.late_next = ""
-                threading.Timer(LATE_ANSWER_S, self._answer, (session, self.life, self.stops_short)).start()
+                threading.Timer(LATE_ANSWER_S, self._answer, (session, self.stops_short)).start()
             else:
-                threading.Timer(self.answer_after_s, self._answer, (session, self.life)).start()
+                threading.Timer(self.answer_after_s, self._answer, (session,)).start()
         elif kind == RELEASE:
             self.record.add(self.name, f"told release of {session}, cause {parameters[CAUSE][0]}")
             with self.lock:
@@ -267,9 +237,9 @@
             if session not in self.sessions:  # the page is silent here: say that there is no such session
                 self._send(connection, RELEASE, session, {CAUSE: bytes((41,))})
 
-    def _answer(self, session: str, life: int, spoilt: bool = False) -> None:
+    def _answer(self, session: str, spoilt: bool = False) -> None:
         with self.lock:
-            connection = self.open.pop(session, None) if life == self.life else None
+            connection = self.open.pop(session, None)
             if connection is None:
                 return
             self.sessions[session] = connection
@@ -288,30 +258,15 @@
 
 
 class Coordinator:
-    """The coordinator; each of its answers is late by ``late_s``."""
+    """The coordinator."""
 
     def __init__(self, record: Record) -> None:
-        self.record, self.late_s = record, 0.0
+        self.record = record
         self.events: list[dict[str, Any]] = []
         self.changed = threading.Condition()
-        self.connections: set[socket.socket] = set()
-        self.port = free_port()
-        self.address = f"{HOST}:{self.port}"
-        self.come_back()
-
-    def come_back(self) -> None:
-        """Listen, at the start or after :meth:`break_off`."""
-        self.listener = socket.create_server((HOST, self.port), backlog=64)
-        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
-
-    def break_off(self) -> None:
-        """Be out of reach: open connections end, and new ones are refused."""
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-        for connection in list(self.connections):
-            with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RDWR)
+        self.listener = socket.create_server((HOST, 0), backlog=64)
+        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
 
     def publish(self, servers: list[dict[str, Any]], full: bool = False) -> float:
         """Add an event: it counts as told from now on. Returns the time (Unix seconds)."""
@@ -332,15 +287,14 @@
 
     def end(self) -> None:
         """Stop listening."""
-        self.break_off()
+        self.listener.close()
 
-    def _accept(self, listener: socket.socket) -> None:
+    def _accept(self) -> None:
         while True:
             try:
-                connection, _ = listener.accept()
+                connection, _ = self.listener.accept()
             except OSError:
                 return
-            self.connections.add(connection)
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
@@ -351,17 +305,14 @@
                 query = parse_qs(urlsplit(line.split()[1].decode()).query)
                 follow, wait_ms = int(query["follow"][0]), int(query["wait_ms"][0])
                 self.record.add("coordinator", f"is asked follow={follow} wait_ms={wait_ms}")
-                late_s = self.late_s
                 with self.changed:
                     self.changed.wait_for(lambda: len(self.events) > follow, min(wait_ms, 5_000) / 1_000)  # noqa: B023
                     answer = {"index": len(self.events), "updates": self.events[follow:]}
-                time.sleep(late_s)
                 body = json.dumps(answer, separators=(",", ":")).encode()
                 head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
                 connection.sendall(head.encode() + body)
                 told = f"{len(answer['updates'])} events in {len(body)} bytes"
                 self.record.add("coordinator", f"has answered follow={follow}: {told}")
-        self.connections.discard(connection)
 
 
 class Viewer:
