Mark unlisted servers down without a pass over all servers for each

Cause: each report creates a client of an edge server, without a limit. Unlisted servers had the zone "", so all of them counted as one zone with an outage. Samples of the stopped process lie in that call, in its two loops. Ruled out: parsing and ending 14,400 sessions take time in proportion to their number.

Change: a server that was never listed has no zone. ZoneFailures records a failure in amortized constant time; one pass in 0.1 s at most checks all suspected zones, so that an outage of a large listed zone is not quadratic either. Over 4,096 servers without an address (more than a fleet has), a reported session ends at once instead of after 3 s; its viewer is told as before. The pool finds the holder of an address by an index, where each listed address cost a pass over all clients.

--- a/lotuspick/transport/edge_servers/edge_pool.py
+++ b/lotuspick/transport/edge_servers/edge_pool.py
@@ -12,18 +12,19 @@
 from lotuspick.core.events import ServerListUpdate
 from lotuspick.protocol import edge_messages as wire
 from lotuspick.routing.interfaces import AttemptRequest
-from lotuspick.routing.messages import InboundMessage
+from lotuspick.routing.messages import EdgeServerFailed, InboundMessage
 from lotuspick.routing.termination import TerminationReason
 from lotuspick.transport.edge_servers.attempts import QueuedMessage
 from lotuspick.transport.edge_servers.edge_connection import EdgeConnection
 from lotuspick.transport.edge_servers.edge_server_client import EdgeServerClient
+from lotuspick.transport.edge_servers.zone_failures import ZONE_FAILURE_WINDOW_S, ZoneFailures
 from lotuspick.transport.sockets import Reactor
 
 SWEEP_INTERVAL_S = 0.1  # between two sweeps over all clients
 MAX_SWEEP_DELAY_S = 0.1  # a sweep with a longer delay is skipped, since this process was stalled
 INITIAL_CHECK_PAUSE_S = 1.0  # after a check that found a healthy server; doubles with each consecutive one
 MAX_CHECK_PAUSE_S = 8.0
-ZONE_FAILURE_WINDOW_S = 2.0  # two failures in a zone within this time may be a zone outage
+UNLISTED_SERVER_LIMIT = 4_096  # more than the servers of a fleet: viewers may name any server
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,10 +53,11 @@
         self.reactor, self.limits, self.post, self.session_count = reactor, limits, post, session_count
         self.viewer_waits = viewer_waits
         self.clients: dict[str, EdgeServerClient] = {}
+        self.clients_by_address: dict[tuple[str, int], EdgeServerClient] = {}
         self.connections: set[EdgeConnection] = set()  # with an open socket, closing ones included
         self.last_sweep_s = 0.0
         self.next_check_s, self.check_pause_s = 0.0, INITIAL_CHECK_PAUSE_S
-        self.recent_failures: dict[str, dict[str, float]] = {}  # zone -> server -> time of failure
+        self.zone_failures = ZoneFailures()
 
     def start(self) -> None:
         """Start the periodic sweep."""
@@ -81,7 +83,14 @@
         self._client(server).send(QueuedMessage(wire.change_rung(session, rung)))
 
     def keep_connected(self, server: str) -> None:
-        """Dial a server that holds sessions, unless a connection is open."""
+        """Dial a server that holds sessions, unless a connection is open.
+
+        Over ``UNLISTED_SERVER_LIMIT`` a server without an address counts as failed at once, and not only
+        after the time in which it could still be listed.
+        """
+        if server not in self.clients and self._unlisted_count >= UNLISTED_SERVER_LIMIT:
+            self.post(EdgeServerFailed(server, TerminationReason.SERVER_UNRESPONSIVE))
+            return
         client = self._client(server)
         if client.connection is None:
             client.dial("handed over")
@@ -98,18 +107,14 @@
             client = self._client(entry.server)
             client.zone, client.draining = entry.zone, entry.state != "active"
             if entry.state == "gone":
-                client.address = None
+                self._remove_address(client)
                 continue
-            address = addresses[entry.server]
-            for other in self.clients.values():
-                if other is not client and other.address == address:
-                    other.address = None
-            client.set_address(address)
+            self._assign_address(client, addresses[entry.server])
         if update.complete:
             listed = {entry.server for entry in update.servers}
             for server, client in self.clients.items():
                 if server not in listed:
-                    client.address = None
+                    self._remove_address(client)
 
     # ---- called by the clients ----------------------------------------------------------------------------
 
@@ -143,36 +148,55 @@
         """Record a failure; after two in a zone, check the other servers there that hold sessions.
 
         In a zone outage some connections show no error, and each client would detect its failure only by the
-        silence timeout. The failure of a draining server is planned and does not indicate a zone outage.
+        silence timeout. The failure of a draining server is planned and does not indicate a zone outage. A
+        server that was never listed has no zone.
         """
-        if client.draining:
+        if client.draining or client.zone is None:
             return
         now_s = self.reactor.seconds()
-        failures = self.recent_failures.setdefault(client.zone, {})
-        for server in [
-            server for server, failed_s in failures.items() if failed_s < now_s - ZONE_FAILURE_WINDOW_S
-        ]:
-            del failures[server]
-        failures[client.server] = now_s
-        if len(failures) < 2:
-            return
-        for other in self.clients.values():
-            if (
-                other.zone == client.zone
-                and other.server not in failures
-                and other.connection is not None
-                and other.connected_s < now_s - ZONE_FAILURE_WINDOW_S
-                and self.session_count(other.server)
-            ):
-                other.check("zone")
+        self.zone_failures.record(client.zone, client.server, now_s)
+        self._check_suspected_zones(now_s)
 
     # ---- internal -----------------------------------------------------------------------------------------
 
+    @property
+    def _unlisted_count(self) -> int:
+        """The number of clients without an address."""
+        return len(self.clients) - len(self.clients_by_address)
+
+    def _assign_address(self, client: EdgeServerClient, address: tuple[str, int]) -> None:
+        if client.address != address:
+            self._remove_address(client)
+        previous = self.clients_by_address.get(address)
+        if previous is not None and previous is not client:
+            previous.address = None
+        self.clients_by_address[address] = client
+        client.set_address(address)
+
+    def _remove_address(self, client: EdgeServerClient) -> None:
+        if client.address is not None:
+            self.clients_by_address.pop(client.address, None)
+            client.address = None
+
     def _client(self, server: str) -> EdgeServerClient:
         if server not in self.clients:
             self.clients[server] = EdgeServerClient(self, server)
         return self.clients[server]
 
+    def _check_suspected_zones(self, now_s: float) -> None:
+        zones = self.zone_failures.pop_zones_to_check(now_s)
+        if not zones:
+            return
+        for client in self.clients.values():
+            if (
+                client.zone in zones
+                and not self.zone_failures.has_failed(client.zone, client.server)
+                and client.connection is not None
+                and client.connected_s < now_s - ZONE_FAILURE_WINDOW_S
+                and self.session_count(client.server)
+            ):
+                client.check("zone")
+
     def _sweep(self) -> None:
         self.reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
         now_s = self.reactor.seconds()
@@ -183,3 +207,4 @@
             client.sweep(now_s)
             if client.address is None and client.connection is None and client.is_idle and not client.dialing:
                 del self.clients[server]
+        self._check_suspected_zones(now_s)
--- a/lotuspick/transport/edge_servers/edge_server_client.py
+++ b/lotuspick/transport/edge_servers/edge_server_client.py
@@ -52,7 +52,8 @@
     def __init__(self, pool: EdgePool, server: str) -> None:
         self.pool, self.server = pool, server
         self.address: tuple[str, int] | None = None
-        self.zone, self.draining = "", False
+        self.zone: str | None = None  # None: the server was never listed
+        self.draining = False
         self.connection: EdgeConnection | None = None
         self.dialing = False
         self.checking = False  # the current dial is a liveness check
--- a/tests/transport/test_edge_server_client.py
+++ b/tests/transport/test_edge_server_client.py
@@ -145,6 +145,29 @@
         # Two failures further apart than ZONE_FAILURE_WINDOW_S are no zone outage either.
         self.assertEqual(self.dial_count(), 1)
 
+    def test_zone_outage_is_checked_once_for_many_failures_in_one_step(self) -> None:
+        """A pass over all servers for each failure takes seconds in a large zone."""
+        server_clients = self.server_clients(*"a" * 40)
+        self.clock.advance(3.0)
+        with patch.object(
+            self.pool.zone_failures, "has_failed", wraps=self.pool.zone_failures.has_failed
+        ) as visit:
+            for client in server_clients[:39]:
+                client._on_dial_failed(TerminationReason.DIAL_REFUSED, client.address)
+        self.assertEqual((visit.call_count, server_clients[39].dialing), (40, "zone"))
+
+    def test_server_that_connects_during_a_zone_outage_is_checked_by_a_later_sweep(self) -> None:
+        server_clients = self.server_clients("a", "a", "a", "a")
+        self.clock.advance(3.0)
+        server_clients[3].connected_s = 1.05
+        for client in server_clients[:2]:
+            client._on_dial_failed(TerminationReason.DIAL_REFUSED, client.address)
+        self.assertEqual([client.dialing for client in server_clients[2:]], ["zone", False])
+        server_clients[2]._on_dial_failed(TerminationReason.DIAL_REFUSED, server_clients[2].address)
+        self.pool.start()
+        self.clock.pump([0.1] * 2)
+        self.assertEqual(server_clients[3].dialing, "zone")
+
     def test_failures_of_draining_servers_do_not_count_as_a_zone_outage(self) -> None:
         """During a rolling release many servers end together; dialling the others would find them healthy."""
         server_clients = self.server_clients("a", "a", "a")
