Read 16 KiB of a viewer's connection at a time

One step of the reactor reads up to 64 KiB of each connection and handles it at once, some 220 requests each.

Change: one read takes 16 KiB, the size limit of a message. It is no smaller, since a message that is unread because the process stalled has to arrive whole in the one read before its timeout closes the connection.

--- a/lotuspick/transport/rtsp/rtsp_server.py
+++ b/lotuspick/transport/rtsp/rtsp_server.py
@@ -14,6 +14,7 @@
 from twisted.internet import protocol, tcp
 
 from lotuspick.protocol import rtsp
+from lotuspick.protocol.errors import MAX_MESSAGE_BYTES
 from lotuspick.routing.interfaces import ViewerConnection
 from lotuspick.routing.messages import InboundMessage, ViewerConnectionClosed, ViewerConnectionOpened
 from lotuspick.routing.termination import TerminationReason
@@ -29,6 +30,8 @@
 ACCEPT_RETRY_S = 0.05  # interval of capacity checks while accepting is paused
 EVICTION_DIVISOR = 32  # limit/32 more are evicted than necessary, to free capacity for further connections
 CANDIDATES_FACTOR = 4  # candidates per eviction, since those with unread input are skipped
+# Per read: an incomplete message that is unread because this process stalled still arrives whole.
+MAX_READ_BYTES = MAX_MESSAGE_BYTES
 SHUTDOWN_READ_BYTES = 2_048  # per read during a shutdown: a few messages
 DROPPED_LOG_S = 1.0  # interval for which one log line counts the dropped connections
 
@@ -131,8 +134,7 @@
     def connection_opened(self, connection: RtspConnection) -> None:
         """Register a new connection, and evict others if the limit is exceeded."""
         self.connections[connection] = None
-        if self.shutting_down:
-            connection.limit_reads(SHUTDOWN_READ_BYTES)
+        connection.limit_reads(SHUTDOWN_READ_BYTES if self.shutting_down else MAX_READ_BYTES)
         self.post(ViewerConnectionOpened(connection))
         self._evict()
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import ItemsView, ValuesView
 from typing import Any
 
 from lotuspick.core.actions import ForwardAttempt, RejectSession, SetRung
@@ -21,6 +22,22 @@
 LADDER = (100.0, 200.0, 400.0, 800.0)
 
 
+class CountingDict(dict[str, Any]):
+    """Counts the passes over all of its entries."""
+
+    passes = 0
+
+    def values(self) -> ValuesView[Any]:
+        """Count a pass."""
+        self.passes += 1
+        return super().values()
+
+    def items(self) -> ItemsView[str, Any]:
+        """Count a pass."""
+        self.passes += 1
+        return super().items()
+
+
 def settings(**changes: Any) -> Settings:
     """Return the settings of a small site; ``changes`` replace fields."""
     values: dict[str, Any] = {
--- a/tests/integration/test_unlisted_servers.py
+++ b/tests/integration/test_unlisted_servers.py
@@ -8,13 +8,13 @@
 
 import contextlib
 import re
-from collections.abc import ItemsView, ValuesView
-from typing import Any
 from unittest.mock import patch
 
+from helpers import CountingDict
 from stepped import SteppedBroker
 from test_held_up import SETUP
 
+from lotuspick.protocol.errors import MAX_MESSAGE_BYTES
 from lotuspick.transport.edge_servers import edge_pool
 from lotuspick.transport.edge_servers.edge_server_client import NO_ADDRESS_TIMEOUT_S
 
@@ -22,20 +22,6 @@
 PASSES_PER_SWEEP = 2  # the sweep itself, and at most one check of the suspected zones
 
 
-class CountingDict(dict[str, Any]):
-    """Counts the passes over all of its entries."""
-
-    passes = 0
-
-    def values(self) -> ValuesView[Any]:
-        self.passes += 1
-        return super().values()
-
-    def items(self) -> ItemsView[str, Any]:
-        self.passes += 1
-        return super().items()
-
-
 def report(number: int, server: str) -> bytes:
     """The report of a session that plays at a server already."""
     request = (SETUP % 9_000).replace(b"0000000000000001", b"%016x" % number)
@@ -79,6 +65,18 @@
         self.assertEqual(len(released), REPORTS)
         self.assertLessEqual(max(sweeps), PASSES_PER_SWEEP)
 
+    def test_one_step_reads_a_bounded_part_of_a_burst(self) -> None:
+        """Otherwise other viewers wait until the bursts of all clients have been read."""
+        request = report(100, "s-00000000")
+        self.run_until(lambda: self.daemon.controller.servers)
+        viewer = self.connect()
+        viewer.sendall(request * 180)
+        self.run_until(lambda: self.daemon.rtsp_server.connections)
+        with patch.object(self.daemon.rtsp_server, "post") as post:
+            self.reactor.doIteration(0)
+        self.assertLessEqual(post.call_count, MAX_MESSAGE_BYTES // len(request) + 1)
+        self.assertGreater(post.call_count, 0)
+
     def test_sessions_over_the_limit_of_unlisted_servers_end_at_once(self) -> None:
         """Viewers could otherwise create any number of clients, each of which is swept ten times a second."""
         with patch.object(edge_pool, "UNLISTED_SERVER_LIMIT", 3):
