Count dials and checks of edge servers without a pass over all clients

EdgePool.has_capacity went through all clients for each dial, and can_check for each silent server.

Change: the pool has a set of the clients that dial and one of those whose dial is a check; the clients ask it.

--- a/lotuspick/transport/edge_servers/edge_pool.py
+++ b/lotuspick/transport/edge_servers/edge_pool.py
@@ -55,6 +55,8 @@
         self.clients: dict[str, EdgeServerClient] = {}
         self.clients_by_address: dict[tuple[str, int], EdgeServerClient] = {}
         self.connections: set[EdgeConnection] = set()  # with an open socket, closing ones included
+        self.dialing: set[EdgeServerClient] = set()
+        self.checking: set[EdgeServerClient] = set()  # whose current dial is a liveness check
         self.last_sweep_s = 0.0
         self.next_check_s, self.check_pause_s = 0.0, INITIAL_CHECK_PAUSE_S
         self.zone_failures = ZoneFailures()
@@ -123,8 +125,7 @@
 
         A closing connection counts until its socket is closed.
         """
-        dialing = sum(client.dialing for client in self.clients.values())
-        return len(self.connections) + dialing < self.limits.max_connections
+        return len(self.connections) + len(self.dialing) < self.limits.max_connections
 
     @property
     def can_check(self) -> bool:
@@ -133,9 +134,7 @@
         Checks are limited to one at a time. If notifications of all servers are missing, simultaneous checks
         would cost every broker one connection for each server.
         """
-        return self.reactor.seconds() >= self.next_check_s and not any(
-            client.checking for client in self.clients.values()
-        )
+        return self.reactor.seconds() >= self.next_check_s and not self.checking
 
     def record_check(self, healthy: bool) -> None:
         """Set the pause until the next check; there is none after a check that failed."""
--- a/lotuspick/transport/edge_servers/edge_server_client.py
+++ b/lotuspick/transport/edge_servers/edge_server_client.py
@@ -55,8 +55,6 @@
         self.zone: str | None = None  # None: the server was never listed
         self.draining = False
         self.connection: EdgeConnection | None = None
-        self.dialing = False
-        self.checking = False  # the current dial is a liveness check
         self.failed_dials = 0  # consecutive
         self.queue: deque[QueuedMessage] = deque()
         self.sent_attempts: dict[str, SentAttempt] = {}
@@ -66,6 +64,16 @@
         self.last_message_s = self.last_write_s = self.connected_s = now_s
         self.last_idle_s = now_s  # last time at which no message was expected
 
+    @property
+    def dialing(self) -> bool:
+        """Whether a dial is in progress."""
+        return self in self.pool.dialing
+
+    @property
+    def checking(self) -> bool:
+        """Whether the current dial is a liveness check."""
+        return self in self.pool.checking
+
     @property
     def queued_attempts(self) -> int:
         """The number of set-ups that are queued for a connection."""
@@ -149,7 +157,7 @@
         if not self.pool.has_capacity():
             self._fail_queue(TerminationReason.DIAL_FAILED)  # a local limit says nothing about the server
             return
-        self.dialing = True
+        self.pool.dialing.add(self)
         address = self.address
         endpoint = TCP4ClientEndpoint(self.pool.reactor, *address, timeout=self.pool.limits.dial_timeout_s)
         factory: Any = protocol.Factory.forProtocol(lambda: EdgeConnection(self, address))
@@ -166,7 +174,8 @@
         """Dial to check that the server is alive: a dead server accepts no connection."""
         if not self.dialing:
             self.dial(purpose)
-            self.checking = self.dialing
+            if self.dialing:
+                self.pool.checking.add(self)
 
     def set_address(self, address: tuple[str, int]) -> None:
         """Set the server's address, and replace the connection if the address has changed.
@@ -239,9 +248,9 @@
             self.dial("moved")
 
     def _finish_dial(self, healthy: bool) -> None:
-        self.dialing = False
+        self.pool.dialing.discard(self)
         if self.checking:
-            self.checking = False
+            self.pool.checking.discard(self)
             self.pool.record_check(healthy)
 
     def _replace(self, old: EdgeConnection) -> None:
--- a/tests/transport/test_edge_server_client.py
+++ b/tests/transport/test_edge_server_client.py
@@ -7,6 +7,7 @@
 from typing import Any
 from unittest.mock import Mock, patch
 
+from helpers import CountingDict
 from twisted.internet import error
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
@@ -123,11 +124,14 @@
         }
         for client, zone in zip(self.pool.clients.values(), zones):
             client.zone, client.address = zone, ("127.0.0.1", 9)
-            client.dial = Mock(side_effect=partial(setattr, client, "dialing"))  # type: ignore[method-assign]
+            client.dial = Mock(side_effect=partial(self.begin_dial, client))  # type: ignore[method-assign]
             connection = client.connection = EdgeConnection(client)
             connection.transport, connection.is_open = Mock(), True
         return list(self.pool.clients.values())
 
+    def begin_dial(self, client: EdgeServerClient, purpose: str) -> None:
+        self.pool.dialing.add(client)
+
     def dial_count(self) -> int:
         return sum(client.dial.call_count for client in self.pool.clients.values())  # type: ignore[attr-defined]
 
@@ -154,7 +158,8 @@
         ) as visit:
             for client in server_clients[:39]:
                 client._on_dial_failed(TerminationReason.DIAL_REFUSED, client.address)
-        self.assertEqual((visit.call_count, server_clients[39].dialing), (40, "zone"))
+        self.assertEqual(visit.call_count, 40)
+        server_clients[39].dial.assert_called_once_with("zone")  # type: ignore[attr-defined]
 
     def test_server_that_connects_during_a_zone_outage_is_checked_by_a_later_sweep(self) -> None:
         server_clients = self.server_clients("a", "a", "a", "a")
@@ -162,11 +167,30 @@
         server_clients[3].connected_s = 1.05
         for client in server_clients[:2]:
             client._on_dial_failed(TerminationReason.DIAL_REFUSED, client.address)
-        self.assertEqual([client.dialing for client in server_clients[2:]], ["zone", False])
+        self.assertEqual([client.checking for client in server_clients[2:]], [True, False])
         server_clients[2]._on_dial_failed(TerminationReason.DIAL_REFUSED, server_clients[2].address)
         self.pool.start()
         self.clock.pump([0.1] * 2)
-        self.assertEqual(server_clients[3].dialing, "zone")
+        server_clients[3].dial.assert_called_once_with("zone")  # type: ignore[attr-defined]
+
+    def test_dials_and_checks_cost_no_pass_over_all_servers(self) -> None:
+        """Guards against seconds in one step when thousands of servers are dialled or silent together."""
+        server_clients = self.server_clients(*"a" * 40)
+        self.pool.limits = EdgeLimits(0.25, 27, 3, 32, max_connections=100)
+        self.pool.clients = clients = CountingDict(self.pool.clients)
+        self.clock.advance(4.0)
+        for client in server_clients:
+            self.assertTrue(self.pool.has_capacity())
+            client.sweep(self.clock.seconds())
+        self.assertEqual(clients.passes, 0)
+        self.assertEqual(self.dial_count(), 1)
+
+    def test_listed_address_costs_no_pass_over_all_servers(self) -> None:
+        self.pool.clients = clients = CountingDict(self.pool.clients)
+        for port in range(40):
+            update = ServerListUpdate([ServerEntry(f"n{port}", "a", "box", 0, "active")])
+            self.pool.update_endpoints(update, {f"n{port}": ("127.0.0.1", port)})
+        self.assertEqual(clients.passes, 0)
 
     def test_failures_of_draining_servers_do_not_count_as_a_zone_outage(self) -> None:
         """During a rolling release many servers end together; dialling the others would find them healthy."""
