Choose the connection for releases without a viewer once in a tick

A session whose viewer has left is released on the open connection with the most requests, found by a pass over all connections for each session.

Change: the connection is chosen once in a tick, and again if it closes or a connection opens.

Tests: test_releases_of_one_tick_choose_their_connection_once (50 sessions and connections: 2,500 looks on the parent, 100 allowed); the other test shows that a chosen connection that closes gets no further release.

--- a/lotuspick/routing/viewer_connections.py
+++ b/lotuspick/routing/viewer_connections.py
@@ -65,6 +65,8 @@
         self.stats: dict[ViewerConnection, ConnectionStats] = {}
         self._pending_releases: deque[tuple[int, str, TerminationReason]] = deque()  # expiry, session, reason
         self._shared_evicted_at_us = -SHARED_EVICTION_INTERVAL_US
+        self._most_used: ViewerConnection | None = None
+        self._most_used_at_us = -1  # time of the tick in which it was chosen
 
     @property
     def has_pending_releases(self) -> bool:
@@ -74,6 +76,7 @@
     def add(self, viewer: ViewerConnection, now: int) -> None:
         """Add a connection that has opened and send it the pending releases."""
         self.stats[viewer] = ConnectionStats(now)
+        self._most_used_at_us = -1
         pending, self._pending_releases = self._pending_releases, deque()
         for _, session, reason in pending:
             viewer.released(session, reason)
@@ -81,6 +84,8 @@
     def remove(self, viewer: ViewerConnection) -> None:
         """Remove a connection that has closed."""
         self.stats.pop(viewer, None)
+        if viewer is self._most_used:
+            self._most_used, self._most_used_at_us = None, -1
 
     def count_request(self, viewer: ViewerConnection) -> None:
         """Count a request received on a connection."""
@@ -94,15 +99,26 @@
     ) -> None:
         """Report the end of a session on its own connection, on another open one, or on the next to open."""
         if viewer is None or not viewer.is_open:
-            # Sessions are not bound to connections, so any open one is valid. The one with the most requests
-            # is certain to be read by a viewer.
-            candidates = [candidate for candidate in self.stats if candidate.is_open]
-            viewer = max(candidates, key=lambda candidate: self.stats[candidate].request_count, default=None)
+            viewer = self._most_used_connection(now)
         if viewer is None:
             self._pending_releases.append((now + PENDING_RELEASE_US, session, reason))
         else:
             viewer.released(session, reason)
 
+    def _most_used_connection(self, now: int) -> ViewerConnection | None:
+        """Return the open connection with the most requests as of this tick; None if none is open.
+
+        Sessions are not bound to connections, so any open one is valid, and this one is certain to be read by
+        a viewer. It is chosen once in a tick, since thousands of sessions may end together.
+        """
+        chosen = self._most_used
+        if self._most_used_at_us == now and (chosen is None or chosen.is_open):
+            return chosen
+        candidates = [candidate for candidate in self.stats if candidate.is_open]
+        chosen = max(candidates, key=lambda candidate: self.stats[candidate].request_count, default=None)
+        self._most_used, self._most_used_at_us = chosen, now
+        return chosen
+
     def drop_expired_releases(self, now: int) -> None:
         """Drop the pending releases whose time has expired."""
         while self._pending_releases and self._pending_releases[0][0] <= now:
--- a/tests/routing/test_viewer_connections.py
+++ b/tests/routing/test_viewer_connections.py
@@ -53,6 +53,36 @@
     closed.released.assert_not_called()
 
 
+def test_releases_of_one_tick_choose_their_connection_once() -> None:
+    """Guards against a pass over all connections for each of thousands of sessions that end together."""
+    connections, checks = ViewerConnections(), Mock(return_value=True)
+    watched = type("Watched", (Mock,), {"is_open": property(lambda self: checks())})
+    viewers = [watched(last_message_us=0) for _ in range(50)]
+    for connection in viewers:
+        connections.add(connection, 0)
+    for session in range(50):
+        connections.release(f"{session}", None, FINISHED, 1)
+    assert sum(connection.released.call_count for connection in viewers) == 50
+    assert checks.call_count <= 50 + 50  # once for each connection, and once for each release
+
+
+def test_release_after_the_chosen_connection_has_closed_goes_to_another() -> None:
+    connections, first, second = ViewerConnections(), viewer(), viewer()
+    for connection in (first, second):
+        connections.add(connection, 0)
+    connections.count_request(first)
+    connections.release("a", None, FINISHED, 1)
+    first.is_open = False
+    connections.release("b", None, FINISHED, 1)
+    second.is_open = False
+    connections.release("c", None, FINISHED, 1)
+    third = viewer()
+    connections.add(third, 1)
+    connections.release("d", None, FINISHED, 1)
+    released = [[call.args[0] for call in each.released.call_args_list] for each in (first, second, third)]
+    assert released == [["a"], ["b"], ["c", "d"]]
+
+
 def test_release_that_finds_no_connection_waits_for_the_next_and_is_sent_once() -> None:
     connections, first, second = ViewerConnections(), viewer(), viewer()
     connections.release("a", None, FINISHED, 1)
