Index the servers once for successive changes of the endpoint list

Change: the index is rebuilt once before the next event of another type, and at the end of the call, so that decisions see the same index as before.

--- a/lotuspick/core/controller.py
+++ b/lotuspick/core/controller.py
@@ -52,6 +52,7 @@
         self.subscription_due = settings.subscription_required
         self.queue_poll_pending = False
         self.last_maintenance_at = 0
+        self.server_index_is_stale = False
 
     def handle(self, now: int, new_events: Sequence[events.Event]) -> list[actions.Action]:
         """Apply the events at clock time ``now`` (us); return the actions, in order.
@@ -68,8 +69,12 @@
         context.now, context.actions = now, [actions.Subscribe()] if self.subscription_due else []
         self.subscription_due = False
         for event in new_events:
+            if self.server_index_is_stale and not isinstance(event, events.ServerListUpdate):
+                self._index_servers()
             self.constraint_provider.on_event(now, event)
             HANDLERS[type(event)](self, event)
+        if self.server_index_is_stale:
+            self._index_servers()
         if self.queued:
             self._evaluate_queue()
         context.changed_positions, self.placement.fits = set(), {}
@@ -101,7 +106,11 @@
             for name, server in self.servers.items():
                 server.listed = server.listed and name in listed_names
         self._on_global_change(event)
+        self.server_index_is_stale = True  # thousands of updates may follow each other after an outage
+
+    def _index_servers(self) -> None:
         self.context.index_servers()
+        self.server_index_is_stale = False
 
     def _on_server_entry(self, entry: events.ServerEntry, first_list: bool) -> None:
         known = self.servers.get(entry.server)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 from helpers import NOW, controller, entry, request, servers
 
 from lotuspick.core.constraints import PlacementConstraint
+from lotuspick.core.context import BrokerContext
+from lotuspick.core.events import ServerListUpdate
 from lotuspick.core.placement import draw_shares, free_shares
 from lotuspick.core.state import Loads, SessionState
 
@@ -58,3 +61,20 @@
         server = self.context.add_server(entry(9))
         for found, expected in zip(free_shares(server, 0.3, [0.2, 0.3, 0.05]), [0.1, 0.2, 0.0]):
             self.assertAlmostEqual(found, expected)
+
+
+class ServerIndex(unittest.TestCase):
+    def test_successive_list_updates_are_indexed_once_and_before_the_next_event(self) -> None:
+        """Guards against a pass over all servers for each of thousands of updates that follow an outage."""
+        core = controller()
+        updates = [ServerListUpdate([entry(position, server=f"n{position}")]) for position in range(40)]
+        index_servers = BrokerContext.index_servers
+        with patch.object(BrokerContext, "index_servers", autospec=True, side_effect=index_servers) as index:
+            core.handle(NOW, updates)
+            self.assertEqual(index.call_count, 1)
+            core.handle(NOW, [*updates, request("a", NOW), *updates])
+        self.assertEqual(index.call_count, 3)
+        indexed = [
+            server for at_position in core.context.servers_by_position.values() for server in at_position
+        ]
+        self.assertEqual(len(indexed), len(core.servers))
