Drop the session count of a title with its last session

For classes with a limit of sessions per title, the count of each title that a viewer ever named stayed, at 0.

Change: a count of 0 is deleted; a missing one reads as 0, as before.

Test: test_title_without_sessions_is_not_retained; on the parent three titles of ended sessions are retained.

--- a/lotuspick/core/context.py
+++ b/lotuspick/core/context.py
@@ -261,4 +261,7 @@
     def adjust_title_count(self, session: SessionState, change: int) -> None:
         """Change the session count of a title by ``change``, if the class has a title session limit."""
         if session.session_class.title_session_limit:
-            self.sessions_by_title[session.request.title, session.session_class.name] += change
+            title = session.request.title, session.session_class.name
+            self.sessions_by_title[title] += change
+            if not self.sessions_by_title[title]:
+                del self.sessions_by_title[title]  # viewers may name any title
--- a/tests/core/test_other_settings.py
+++ b/tests/core/test_other_settings.py
@@ -98,3 +98,14 @@
             core.handle(NOW + 1, [AttemptEnded("a", 0, "s0", "served", final=True)]), ForwardAttempt
         )
     ] == ["b"]
+
+
+def test_title_without_sessions_is_not_retained() -> None:
+    """Viewers may name any title: a count of 0 for each of them would be kept for good."""
+    core = Controller(settings(classes=[ClassSettings("clip", SECOND, title_session_limit=1)]), 1)
+    core.handle(0, [ServerListUpdate([entry(0)], complete=True)])
+    for number in range(3):
+        core.handle(NOW, [request(f"{number}", NOW, copies=1, title=f"t{number}")])
+        core.handle(NOW + 1, [AttemptEnded(f"{number}", 0, "s0", "served", final=True)])
+    assert core.context.sessions_by_title == {}
+    assert not core.sessions
