Force the order of ticks in the test of unsent answers

Seen: test_connection_with_an_unsent_answer_is_not_evicted failed once in a run of the whole suite beside another program: the answer was never seen in the inbox.

Cause: the test looks into the inbox after each iteration. If the answer is read between one and two periods after the last tick, the tick that it requests runs in the same iteration and empties the inbox first.

Change: from before the answer on, only the test runs ticks. What is asserted stays. With the order forced it passes with 0, 5 and 20 ms (once each), and fails with a planted fault (_can_be_evicted without the look at unsent output).

--- a/tests/integration/test_unsent_answer.py
+++ b/tests/integration/test_unsent_answer.py
@@ -37,6 +37,9 @@
         others = [self.request(bytes([1, number] * 4)) for number in range(VIEWER_LIMIT - 1)]
         sessions = self.daemon.dispatcher.sessions
         self.run_until(lambda: sessions.open_request_count == len(others) + 1)
+        self.daemon.dispatcher.schedule_tick = lambda at_us: None  # from here on only the test runs ticks
+        if self.daemon._tick_call.active():
+            self.daemon._tick_call.cancel()
         edge.sendall(frame(ANSWER))
         self.run_until(
             lambda: any(isinstance(each, AttemptAnswered) for each in self.daemon.dispatcher.inbox)
