Keep the connection of an open request when the next message is incomplete

Cause: RtspConnection._close_after_timeout closed the connection of an incomplete message without asking whether a request on it has an answer. The reported end of the connection cancels its requests (_on_viewer_closed).

Change: while a request on the connection has no answer, in the inbox or in the session table, the timeout is checked again every 0.1 s instead; the message is still read. Once the request is answered, the connection is closed as before. This ends by the deadline of that request, since no further one can follow an incomplete message. Eviction asks the session table by the same method now.

The same cause on related paths: each call that closes a viewer's connection was read. A first message that never comes has no request. After 5 s without reading its output a viewer is dropped: it could not read an answer either.

--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -87,6 +87,7 @@
             self.set_up_limits,
             config.max_descriptors // VIEWER_DESCRIPTOR_DIVISOR,
             self.dispatcher.eviction_candidates,
+            self.dispatcher.has_open_request,
             self.renew_token,
             self.earliest_arrival_us,
         )
--- a/lotuspick/routing/dispatcher.py
+++ b/lotuspick/routing/dispatcher.py
@@ -149,6 +149,12 @@
                 waiting.update(entry.duplicates)
         return waiting
 
+    def has_open_request(self, viewer: ViewerConnection) -> bool:
+        """Whether a request on a viewer connection has no answer yet."""
+        return self.sessions.has_open_request(viewer) or any(
+            isinstance(message, SessionRequested) and message.viewer is viewer for message in self.inbox
+        )
+
     def stop_admitting(self) -> None:
         """Reject new requests from now on, because the broker stops."""
         self.handlers.admitting = False
--- a/lotuspick/routing/session_table.py
+++ b/lotuspick/routing/session_table.py
@@ -140,6 +140,10 @@
         """Return the sessions and requests of a connection, ordered by id."""
         return sorted(self.by_connection.get(viewer, ()))
 
+    def has_open_request(self, viewer: ViewerConnection) -> bool:
+        """Whether a connection has an open request or a duplicate of one."""
+        return any(not self.entries[session].is_playing for session in self.by_connection.get(viewer, ()))
+
     def sessions_at(self, server: str) -> list[str]:
         """Return the sessions and attempts at an edge server, ordered by id."""
         return sorted(self.by_server.get(server, ()))
--- a/lotuspick/routing/viewer_connections.py
+++ b/lotuspick/routing/viewer_connections.py
@@ -155,7 +155,7 @@
                 viewer.is_open
                 and viewer not in requesting
                 and viewer.last_message_us <= now - MIN_QUIET_US
-                and all(sessions.entries[session].is_playing for session in session_ids)
+                and not sessions.has_open_request(viewer)
             ):
                 ranked.append((stats.eviction_key(viewer, len(session_ids)), viewer))
         chosen = heapq.nsmallest(limit, ranked, key=lambda candidate: candidate[0])
--- a/lotuspick/transport/rtsp/rtsp_connection.py
+++ b/lotuspick/transport/rtsp/rtsp_connection.py
@@ -34,6 +34,7 @@
 log = logging.getLogger(__name__)
 
 MESSAGE_TIMEOUT_S = 2.0  # for the first message, and for each incomplete one: idle viewers use up descriptors
+OPEN_REQUEST_CHECK_S = 0.1  # between two checks whether the request that delays a close has its answer
 WRITE_TIMEOUT_S = 5.0  # a viewer that does not read its output for this long is disconnected
 FIRST_MESSAGE_GRACE_S = 0.1  # a shutdown does not close a younger connection without a message
 MALFORMED_LIMIT = 3  # malformed messages per connection; each further one pauses reading
@@ -169,7 +170,16 @@
         self._message_timer = self.server.reactor.callLater(0, self._close_after_timeout)
 
     def _close_after_timeout(self) -> None:
-        """Close after flushing: an answer to another request on this connection may be unsent."""
+        """Close after flushing: an answer to another request on this connection may be unsent.
+
+        While another request has no answer, the connection stays open, and the message may still arrive. This
+        ends by that request's deadline, since no further request can follow an incomplete message.
+        """
+        if self.last_message_us and self.server.has_open_request(self):
+            self._message_timer = self.server.reactor.callLater(
+                OPEN_REQUEST_CHECK_S, self._on_message_timeout
+            )
+            return
         self.server.count_dropped(TerminationReason.SERVER_UNRESPONSIVE)
         self.close_after_flush()
 
--- a/lotuspick/transport/rtsp/rtsp_server.py
+++ b/lotuspick/transport/rtsp/rtsp_server.py
@@ -63,6 +63,7 @@
         set_up_limits: rtsp.SetUpLimits,
         connection_limit: int,
         eviction_candidates: Callable[[int], list[ViewerConnection]],
+        has_open_request: Callable[[ViewerConnection], bool],
         renew: RenewToken | None = None,
         earliest_arrival_us: Callable[[], int] = now_us,
     ) -> None:
@@ -75,6 +76,7 @@
         )
         self.earliest_arrival_us = earliest_arrival_us
         self.connection_limit, self.eviction_candidates = connection_limit, eviction_candidates
+        self.has_open_request = has_open_request
         self.connections: dict[RtspConnection, None] = {}
         self.closing: set[RtspConnection] = set()  # ended connections whose sockets are not yet closed
         self.shutting_down = False  # connections are closed as they become idle
--- a/tests/entitlement/test_token_renewal.py
+++ b/tests/entitlement/test_token_renewal.py
@@ -65,7 +65,14 @@
         renewal.result = result
         set_up_limits: Any = None
         server = RtspServer(
-            MemoryReactorClock(), lambda _: None, lambda: True, set_up_limits, 8, lambda _: [], renewal.renew
+            MemoryReactorClock(),
+            lambda _: None,
+            lambda: True,
+            set_up_limits,
+            8,
+            lambda _: [],
+            lambda _: False,
+            renewal.renew,
         )
         connection = server.buildProtocol(None)
         transport = Mock(fileno=Mock(return_value=-1), disconnecting=False)
--- a/tests/integration/test_closing.py
+++ b/tests/integration/test_closing.py
@@ -229,6 +229,7 @@
             rtsp.SetUpLimits(frozenset(), 1, 1),
             64,
             lambda maximum: [],
+            lambda viewer: False,
         )
 
     def connect(self) -> RtspConnection:
--- a/tests/routing/test_viewer_eviction.py
+++ b/tests/routing/test_viewer_eviction.py
@@ -104,6 +104,7 @@
             Mock(),
             64,
             lambda limit: [each for each in rtsp_server.connections if each.is_open][:limit],
+            lambda viewer: False,
         )
         earlier = [connect() for _ in range(64)]
         later = [connect() for _ in range(3)]
--- a/tests/transport/test_rtsp_server.py
+++ b/tests/transport/test_rtsp_server.py
@@ -30,6 +30,7 @@
             rtsp.SetUpLimits(frozenset(), 1, 1),
             LIMIT,
             lambda maximum: [],
+            lambda viewer: False,
         )
 
     def connect(self) -> RtspConnection:
