Look for lost messages on replaced connections to edge servers too

Cause: after 0.3 s without a message a new connection replaces the slow one. An edge server sends the end of a session on the connection of its set-up, and again on the next one that is opened. EdgeServerClient looked for truncated messages on the current connection only, and the end of a replaced one opened no other. Messages on the current one kept the server from being checked for silence, so nothing was opened on which the end would have come again.

Change: truncated messages are looked for on replaced and half-closed connections too. If a replaced connection with an open set-up stays silent for 3 s, a new one is opened while it is kept, since its set-up may only be slow.

The same cause on related paths: the connections that are not the current one were read. Connections whose address has changed are replaced ones as well. A connection that is closed as idle has no session. mark_down leaves replaced connections open: their set-ups end by their time. The watch of the endpoint list asks again from its index, also of another coordinator; brokers repeat their requests to each other; polls of HTTP media nodes have time limits. Of the ends towards viewers, none is sent on a connection that is closing.

--- a/lotuspick/transport/edge_servers/edge_connection.py
+++ b/lotuspick/transport/edge_servers/edge_connection.py
@@ -25,6 +25,7 @@
 log = logging.getLogger(__name__)
 
 LENGTH_PREFIX_BYTES = 2  # size of the length field before each message
+PARTIAL_MESSAGE_TIMEOUT_S = 0.25  # after which an incomplete message is considered truncated
 LINGER_S = 1.0  # time that a closing or replaced connection stays open after its last message
 
 
@@ -41,7 +42,7 @@
         self.is_open = False
         self.write_blocked_since_s: float | None = None
         self.partial_message_since_s: float | None = None
-        self.last_message_s = 0.0
+        self.last_message_s = self.last_set_up_s = 0.0
         self.close_reason: TerminationReason | None = None  # set when this side closes the connection
         self._close_timer: Any = None
 
@@ -61,6 +62,16 @@
         self.client.pool.connections.discard(self)
         self.client.connection_closed(self, self.close_reason or loss_reason(reason))
 
+    @property
+    def awaits_message(self) -> bool:
+        """Whether no message has arrived since the last set-up that was written."""
+        return self.last_message_s < self.last_set_up_s
+
+    def has_truncated_message(self, now_s: float) -> bool:
+        """Return whether a message has been incomplete for so long that its rest will not arrive."""
+        since_s = self.partial_message_since_s
+        return since_s is not None and now_s - since_s > PARTIAL_MESSAGE_TIMEOUT_S
+
     # ---- closing ------------------------------------------------------------------------------------------
 
     def half_close(self) -> None:
--- a/lotuspick/transport/edge_servers/edge_server_client.py
+++ b/lotuspick/transport/edge_servers/edge_server_client.py
@@ -37,13 +37,16 @@
 LOCAL_FAILURE_LIMIT = 12  # likewise, for dials that fail immediately with a local error
 # Silence that both failure limits also require: a server that is slow to accept has not vanished.
 MIN_SILENCE_BEFORE_DOWN_S = 1.5
+# Silence of a replaced connection with an open set-up; then a new one is opened, which brings lost messages.
+REPLACED_SILENCE_S = 3.0
 BRIEF_CONNECTION_S = 1.0  # after a shorter connection the sweep redials, instead of an immediate dial
 # A longer silence is always checked: a failure must be detected within 8 s, including the dials.
 MAX_UNCHECKED_SILENCE_S = 6.0
 RELEASE_DIAL_LIMIT = 40  # consecutive dial timeouts before queued releases are discarded
-PARTIAL_MESSAGE_TIMEOUT_S = 0.25  # after which an incomplete message is considered truncated
 UNCONFIRMED_LIMIT = 64  # set-ups that may have run, to be released on the next connection
 MAX_LOGGED_PARAMETERS_CHARS = 200
+# Ends of a connection after which all that the server has sent on it has arrived.
+ORDERLY_ENDS = frozenset({TerminationReason.IDLE, TerminationReason.CLOSED_BY_PEER})
 
 
 class EdgeServerClient:
@@ -60,6 +63,7 @@
         self.sent_attempts: dict[str, SentAttempt] = {}
         self.unconfirmed: deque[str] = deque(maxlen=UNCONFIRMED_LIMIT)
         self.replaced: list[EdgeConnection] = []  # each is closed once no set-up is open on it
+        self.messages_may_be_lost = False  # on a replaced connection; the next new connection brings them
         now_s: float = pool.reactor.seconds()
         self.last_message_s = self.last_write_s = self.connected_s = now_s
         self.last_idle_s = now_s  # last time at which no message was expected
@@ -122,6 +126,7 @@
         self.last_write_s = self.pool.reactor.seconds()
         if item.session:
             self.sent_attempts[item.session] = SentAttempt(connection, self.last_write_s)
+            connection.last_set_up_s = self.last_write_s
         connection.sendString(item.frame)
 
     def remove_queued(self, session: str) -> bool:
@@ -196,6 +201,7 @@
             self._on_address_changed()
             return
         old, self.connection = self.connection, connection
+        self.messages_may_be_lost = False
         self.last_message_s = self.last_write_s = self.connected_s = self.pool.reactor.seconds()
         if old is not None:
             self._replace(old)
@@ -222,6 +228,7 @@
         self._fail_queue(reason)
         self.failed_dials += 1
         if reason is TerminationReason.DIAL_REFUSED:
+            self.messages_may_be_lost = False  # no further connection, also to a draining server
             if not self.is_draining_and_responsive:
                 self.mark_down(TerminationReason.SERVER_DOWN)  # the process and its sessions are gone
         elif not self.pool.session_count(self.server):
@@ -257,17 +264,21 @@
         if old.is_open:
             self.replaced.append(old)
 
-    def _close_replaced(self, now_s: float) -> None:
-        """Close the replaced connections on which no set-up is open.
+    def _sweep_replaced(self, now_s: float) -> None:
+        """Close the replaced connections that are of no further use or have no open set-up.
 
         A set-up that cannot be retried must not be lost because its connection was slow. A connection stays
         open for ``LINGER_S`` after its last message, since the edge server would end a session whose
         connection is closed right after the answer.
         """
         in_use = {sent.connection for sent in self.sent_attempts.values()}
-        for old in self.replaced:
-            if old not in in_use and now_s - old.last_message_s > LINGER_S:
+        for old in list(self.replaced):
+            if old.has_truncated_message(now_s):
+                old.drop(TerminationReason.MALFORMED, "incomplete message on a replaced connection")
+            elif old not in in_use and now_s - old.last_message_s > LINGER_S:
                 old.half_close()
+            elif old.awaits_message and now_s - max(old.last_set_up_s, self.connected_s) > REPLACED_SILENCE_S:
+                self.messages_may_be_lost = True
 
     # ---- failure ------------------------------------------------------------------------------------------
 
@@ -286,6 +297,7 @@
         new dial shows the difference immediately, since a dead process refuses it.
         """
         log.info("edge_server_connection_closed", extra={"server": self.server, "reason": reason.value})
+        orderly = reason in ORDERLY_ENDS
         if ATTEMPT_OUTCOMES[reason] in PROVES_NOT_EXECUTED:
             # A set-up that was written may have run, whatever closed the connection: it must not be retried.
             reason = TerminationReason.RESET
@@ -295,12 +307,22 @@
             self.pool.post(AttemptTerminated(self.server, session, reason))
         if connection in self.replaced:
             self.replaced.remove(connection)
+            self._note_lost_messages(connection, orderly)
         if connection is not self.connection:
             return
         self.connection = None
         if self._needs_new_connection(reason):
             self.dial("lost")  # messages that end sessions arrive on the next connection
 
+    def _note_lost_messages(self, connection: EdgeConnection, orderly: bool) -> None:
+        """Have a new connection opened if messages on an ended one may not have arrived.
+
+        An edge server sends the end of a session on the connection of its set-up, and again on the next one
+        that is opened. The current connection was opened before.
+        """
+        if not orderly or connection.partial_message_since_s is not None or connection.awaits_message:
+            self.messages_may_be_lost = True  # the sweep dials
+
     def _needs_new_connection(self, reason: TerminationReason) -> bool:
         if reason is not TerminationReason.RESET and (
             not self.pool.session_count(self.server) or reason is TerminationReason.SERVER_UNRESPONSIVE
@@ -357,7 +379,9 @@
             # was idle needs no check, and each check costs a connection at every broker.
             self.last_idle_s = now_s
         if self.replaced:
-            self._close_replaced(now_s)
+            self._sweep_replaced(now_s)
+        if self.messages_may_be_lost and has_sessions:
+            self.dial("messages lost")
         if connection is None or not connection.is_open:
             self._sweep_unconnected(now_s, has_sessions)
         else:
@@ -375,13 +399,10 @@
         self, connection: EdgeConnection, now_s: float, has_sessions: bool, is_idle: bool
     ) -> None:
         limits = self.pool.limits
-        blocked_since_s, partial_since_s = (
-            connection.write_blocked_since_s,
-            connection.partial_message_since_s,
-        )
+        blocked_since_s = connection.write_blocked_since_s
         if blocked_since_s is not None and now_s - blocked_since_s > limits.silence_timeout_s:
             connection.drop(TerminationReason.SERVER_UNRESPONSIVE, "writes blocked")
-        elif partial_since_s is not None and now_s - partial_since_s > PARTIAL_MESSAGE_TIMEOUT_S:
+        elif connection.has_truncated_message(now_s):
             # After a corrupt answer nothing more arrives on the connection, so new set-ups would be lost.
             connection.drop(TerminationReason.MALFORMED, "incomplete message")
         elif self._is_unresponsive(connection, now_s):
--- a/tests/transport/test_edge_server_client.py
+++ b/tests/transport/test_edge_server_client.py
@@ -264,6 +264,62 @@
         client._on_connected(connected, address)
         return connected
 
+    def replaced_connection(self) -> EdgeConnection:
+        """Replace a connection on which a set-up was answered by another one."""
+        self.pool.limits = EdgeLimits(0.25, 27, 60, 32, max_connections=4)
+        self.client.address = ("127.0.0.1", 9)
+        replaced = self.connect_new(self.client)
+        self.connect_new(self.client)
+        return replaced
+
+    def test_end_of_a_replaced_connection_is_followed_by_a_new_one_if_messages_may_be_lost(self) -> None:
+        """Otherwise a viewer is not told of the end of a session that was sent on that connection."""
+        for reason, partial_since_s, awaits_message, expected in (
+            (TerminationReason.IDLE, None, False, 0),
+            (TerminationReason.CLOSED_BY_PEER, None, False, 0),
+            (TerminationReason.RESET, None, False, 1),
+            (TerminationReason.MALFORMED, None, False, 1),
+            (TerminationReason.IDLE, 1.0, False, 1),
+            (TerminationReason.CLOSED_BY_PEER, None, True, 1),
+        ):
+            with self.subTest(reason=reason, partial=partial_since_s, awaits_message=awaits_message):
+                self.setUp()
+                replaced = self.replaced_connection()
+                replaced.partial_message_since_s, replaced.is_open = partial_since_s, False
+                replaced.last_set_up_s = replaced.last_message_s + awaits_message
+                self.client.connection_closed(replaced, reason)
+                with patch.object(self.client, "dial") as dial:
+                    self.client.sweep(self.clock.seconds())
+                self.assertEqual(dial.call_count, expected)
+
+    def test_new_connection_is_not_followed_by_another_one(self) -> None:
+        replaced = self.replaced_connection()
+        self.client.connection_closed(replaced, TerminationReason.RESET)
+        self.connect_new(self.client)
+        with patch.object(self.client, "dial") as dial:
+            self.client.sweep(self.clock.seconds())
+        dial.assert_not_called()
+
+    def test_draining_server_that_refuses_the_new_connection_is_not_dialled_again(self) -> None:
+        replaced = self.replaced_connection()
+        self.client.draining = True
+        self.client.connection_closed(replaced, TerminationReason.RESET)
+        self.client._on_dial_failed(TerminationReason.DIAL_REFUSED, self.client.address)
+        with patch.object(self.client, "dial") as dial:
+            self.client.sweep(self.clock.seconds())
+        dial.assert_not_called()
+
+    def test_truncated_message_on_a_half_closed_connection_drops_it(self) -> None:
+        replaced = self.replaced_connection()
+        replaced.half_close()
+        replaced.dataReceived(b"\x00\x0d\x0c")
+        self.clock.advance(0.2)
+        self.client.sweep(self.clock.seconds())
+        replaced.transport.abortConnection.assert_not_called()
+        self.clock.advance(0.1)
+        self.client.sweep(self.clock.seconds())
+        replaced.transport.abortConnection.assert_called_once_with()
+
     def test_closing_connection_counts_as_a_descriptor_until_its_socket_is_closed(self) -> None:
         self.open_sessions, self.client.address = 0, ("127.0.0.1", 9)
         self.pool.limits = EdgeLimits(0.25, 1, 5, 32, max_connections=1)
