Pause reading instead of aborting an HTTP connection with an open set-up

The reason was that Twisted stops reading then and would not notice that the player leaves.

Change: the connection is kept, and every 0.1 s it is checked whether the player has closed it; then it is aborted as before. The site takes the broker's reactor, which its idle timeouts use as well.

--- a/lotuspick/transport/http/bounded_site.py
+++ b/lotuspick/transport/http/bounded_site.py
@@ -4,14 +4,16 @@
 
 from typing import Any
 
+from twisted.internet import protocol
 from twisted.python.failure import Failure
 from twisted.web import http, server
 from twisted.web.resource import Resource
 
 from lotuspick.protocol.errors import MAX_MESSAGE_BYTES
-from lotuspick.transport.sockets import has_unsent_output, readable, shut_down
+from lotuspick.transport.sockets import Reactor, closed_by_peer, has_unsent_output, readable, shut_down
 
 IDLE_S = 60.0  # idle timeout of a connection
+CLOSE_CHECK_S = 0.1  # between two checks whether a viewer has closed a connection that is not read
 
 
 class BoundedRequest(server.Request):
@@ -33,10 +35,10 @@
 
 
 class BoundedChannel(http.HTTPChannel):
-    """One connection; it is aborted if too much data follows a request that has no response yet.
+    """One connection; reading pauses while too much data follows a request that has no response yet.
 
     Twisted stops reading once its buffer is full, and would not detect that the viewer disconnects until the
-    request is answered.
+    request is answered. This is therefore checked periodically.
     """
 
     _handlingRequest: bool
@@ -44,6 +46,7 @@
     requests: list[Any]
     site: BoundedSite
     transport: Any
+    _close_check: Any = None  # timer of the next check, while reading is paused
 
     @property
     def is_idle(self) -> bool:
@@ -74,10 +77,32 @@
         return bool(super().checkPersistence(request, version))
 
     def dataReceived(self, data: bytes) -> None:
-        """Process data, and abort if too much is buffered (Twisted's callback)."""
+        """Process data, and check for a close from now on if reading pauses (Twisted's callback)."""
         super().dataReceived(data)
-        if self._handlingRequest and sum(map(len, self._dataBuffer)) > MAX_MESSAGE_BYTES:
+        self._schedule_close_check()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        """Stop the timer (Twisted's callback)."""
+        if self._close_check is not None and self._close_check.active():
+            self._close_check.cancel()
+        self._close_check = None
+        super().connectionLost(reason)
+
+    @property
+    def _is_full(self) -> bool:
+        """Whether the data after an open request exceeds the limit, so that Twisted does not read."""
+        return self._handlingRequest and sum(map(len, self._dataBuffer)) > MAX_MESSAGE_BYTES
+
+    def _schedule_close_check(self) -> None:
+        if self._close_check is None and self._is_full:
+            self._close_check = self.site.reactor.callLater(CLOSE_CHECK_S, self._check_for_close)
+
+    def _check_for_close(self) -> None:
+        self._close_check = None
+        if self._is_full and closed_by_peer(self.transport.fileno()):
             self.forceAbortClient()
+        else:
+            self._schedule_close_check()
 
 
 class BoundedSite(server.Site):
@@ -86,9 +111,10 @@
     noisy = False
     displayTracebacks = False
     protocol: Any = BoundedChannel
+    reactor: Reactor
 
-    def __init__(self, root: Resource, connection_limit: int) -> None:
-        super().__init__(root, timeout=IDLE_S)
+    def __init__(self, root: Resource, connection_limit: int, reactor: Reactor) -> None:
+        super().__init__(root, timeout=IDLE_S, reactor=reactor)
         self.requestFactory = BoundedRequest
         self.connection_limit, self.channels = connection_limit, set[Any]()
         self.closing = False
--- a/lotuspick/transport/http/http_server.py
+++ b/lotuspick/transport/http/http_server.py
@@ -84,7 +84,7 @@
 
     def site(self, connection_limit: int) -> BoundedSite:
         """Create the Twisted site that serves the players."""
-        return BoundedSite(SessionResource(self), connection_limit)
+        return BoundedSite(SessionResource(self), connection_limit, self.reactor)
 
     def session_ended(self, player: HttpPlayer, reason: TerminationReason) -> None:
         """Remove the player of an ended set-up or session, and answer the requests that wait for its end."""
