Send more requests in the test of a resumed broker, so that some are delayed

Cause: the test needs a paid request that is sent in a stall of about 2.4 s and waits at least 0.9 s. Its arrivals are Poisson, 1.6 paid ones a second at the broker: 2.4 are expected, and none comes with a probability of about 9%.

Change: 16 requests a second in place of 4. What is asserted stays.

--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -129,7 +129,8 @@
 
 class ProcessFaults(FleetTestCase):
     def test_resumed_broker_admits_no_paid_sessions_on_outdated_records(self) -> None:
-        rig = self.fleet()
+        # 6.4 paid requests a second: the probability that a stall of 2 s delays none by 0.9 s is 1 in 1,000.
+        rig = self.fleet(rate=16.0)
         rig.stall(1)
         rig.wait_for_agreement([0, 2, 3, 4], "majority")
         rig.resume(1)
