Discard input that is read while a viewer's connection closes

Cause: Twisted reads on until a closing connection has sent its output. After a message with a body the connection stays in raw mode if it is no longer open, and the next input is taken for a body without a head. The exception ends the connection at once, with its output unsent.

Change: input of a connection that is not open is discarded.

Test: test_input_that_is_read_while_a_connection_closes_is_discarded; it fails on the parent with that error.

--- a/lotuspick/transport/rtsp/rtsp_connection.py
+++ b/lotuspick/transport/rtsp/rtsp_connection.py
@@ -244,7 +244,12 @@
     # ---- reading ------------------------------------------------------------------------------------------
 
     def dataReceived(self, data: bytes) -> None:
-        """Process input, and start the timeout of an incomplete message (Twisted's callback)."""
+        """Process input, and start the timeout of an incomplete message (Twisted's callback).
+
+        Twisted reads on while a closing connection has unsent output; that input is discarded.
+        """
+        if not self.is_open:
+            return
         super().dataReceived(data)
         incomplete = self.is_open and self._has_partial_message
         if incomplete and self._message_timer is None:
--- a/tests/transport/test_rtsp_server.py
+++ b/tests/transport/test_rtsp_server.py
@@ -57,6 +57,20 @@
         connection.connectionLost(Failure(error.ConnectionDone()))
         self.assertEqual((self.server.connections, self.server.closing), ({}, set()))
 
+    def test_input_that_is_read_while_a_connection_closes_is_discarded(self) -> None:
+        """Guards against a traceback that ended the connection before its output was sent.
+
+        Twisted reads on until a closing connection has sent its output. The rest of a flood was taken for the body of
+        a message without a head.
+        """
+        connection = self.connect()
+        connection.dataReceived(b"TEARDOWN rtsp://media/a RTSP/1.0\r\nCSeq: 2\r\nContent-Length: 4\r\n\r\nof")
+        connection.close_after_flush()
+        self.posted.clear()
+        for _ in range(2):
+            connection.dataReceived(b"\r\n" + MALFORMED)
+        self.assertEqual(self.posted, [])
+
     def test_malformed_messages_over_the_limit_pause_reading(self) -> None:
         connection = self.connect()
         connection.dataReceived(MALFORMED * MALFORMED_LIMIT)
