Review stand-ins: end all processes on every way out, and no verdict by accident

Cause: an exception that run_case did not name ended a script with 1, and a signal or a failed start could leave a broker running. Change: processes and folders are listed as they are made and ended at the end, whatever it is; any fault of a script ends with 2; SIGTERM, SIGINT and SIGHUP end the case; the lateness of the loop can be measured.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,8 +10,10 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import struct
+import subprocess
 import tempfile
 import time
 import tomllib
@@ -520,13 +522,17 @@
 class Broker:
     """One playback broker, started by ``run`` of the deploy file."""
 
+    processes: ClassVar[list[subprocess.Popen[bytes]]] = []
+    folders: ClassVar[list[Path]] = []
+
     def __init__(self, record: Record, name: str = "n1") -> None:
         self.record, self.name = record, name
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
+        Broker.folders.append(self.folder)
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.address = f"127.0.0.1:{probe.getsockname()[1]}"
-        self.process: asyncio.subprocess.Process | None = None
+        self.process: subprocess.Popen[bytes] | None = None
 
     async def start(
         self,
@@ -558,10 +564,11 @@
             "PROXY_LISTEN": self.address,
             "TMPDIR": str(temporary),
         }
-        self.log = (self.folder / "log").open("wb")
-        self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=self.log, stderr=self.log
-        )
+        with (self.folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(
+                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+        Broker.processes.append(self.process)
         await self._wait_until_ready()
         self.record(f"{self.name}: passed a test, pid is the broker's")
 
@@ -575,62 +582,91 @@
                     viewers.writer.close()
                     return
             await asyncio.sleep(0.1)
-            if self.process is not None and self.process.returncode is not None:
+            if self.has_ended:
                 break
         raise CaseError("the broker was not ready within 30 s: " + self.log_text()[-400:])
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the process has ended."""
+        return self.process is not None and self.process.poll() is not None
+
     def resident_mb(self) -> float:
-        """The resident memory of the process (MB); 0 once it has ended."""
+        """The resident memory of the process (MiB); 0 once it has ended."""
         with suppress(OSError):
             text = Path(f"/proc/{self.process.pid if self.process else 0}/status").read_text(encoding="utf-8")
             for line in text.splitlines():
                 if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1_000
+                    return int(line.split()[1]) / 1_024
         return 0.0
 
     def log_text(self) -> str:
         """What the broker wrote to its log."""
-        self.log.flush()
         return (self.folder / "log").read_text(encoding="utf-8", errors="replace")
 
     def kill(self) -> None:
         """Kill the process outright."""
         if self.process is not None:
             self.process.kill()
+            self.process.wait()
 
     async def stop(self) -> None:
-        """End the process, and remove its folder."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-        if self.process is not None:
-            self.log.close()
-        if os.environ.get("KEEP") != "1":
-            shutil.rmtree(self.folder, ignore_errors=True)
+        """End the process."""
+        self.kill()
+
+    @classmethod
+    def end_all(cls) -> None:
+        """End every process that was started, and remove the temporary folders."""
+        for process in cls.processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        for folder in cls.folders:
+            shutil.rmtree(folder, ignore_errors=True)
+
+
+class LoopLag:
+    """Measures how late the stand-ins' own loop runs; what it delays is not the broker's fault."""
+
+    def __init__(self) -> None:
+        self.worst_s = 0.0
+        self.task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.01)
+            self.worst_s = max(self.worst_s, time.monotonic() - before - 0.01)
+
+
+async def _bounded(case: Awaitable[list[str]], limit_s: float) -> list[str]:
+    """Run a case until it ends, its time is over, or a signal arrives."""
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    if task is not None:
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(case, limit_s)
 
 
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[list[str]]], limit_s: float) -> None:
-    """Run a case and exit: 1 with the faults that it returns, 0 without any, 2 if it could not run."""
+    """Run a case and exit: 1 with the faults that it returns, 0 without any, 2 if it could not run.
+
+    Whatever ends the case, all processes that it started are ended first. A fault of the case itself, also
+    one that it did not foresee, is no verdict.
+    """
     record, trouble = Record(folder), os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble={trouble}")
-
-    async def bounded() -> list[str]:
-        try:
-            return await asyncio.wait_for(case(record, trouble), limit_s)
-        finally:
-            for viewers in Viewers.opened:
-                viewers.writer.close()
-            await asyncio.sleep(0.1)
-
     status, text = HELD, "held"
     try:
-        faults = asyncio.run(bounded())
+        faults = asyncio.run(_bounded(case(record, trouble), limit_s))
         for fault in faults:
             record(f"BROKEN {fault}")
         if faults:
             status, text = BROKEN, f"broken: {len(faults)} faults, first: {faults[0]}"
-    except (CaseError, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # noqa: BLE001
         status, text = COULD_NOT_RUN, f"could not run: {type(error).__name__} {error}"
+    finally:
+        Broker.end_all()
     record(text)
     print(text, flush=True)
-    os._exit(status)  # all processes have ended; open connections of the stand-ins need no farewell
+    os._exit(status)  # open connections of the stand-ins need no farewell
