--- a/review/6/case.py
+++ b/review/6/case.py
@@ -76,15 +76,17 @@
         if number % 4 == 0:
             resident_mb = broker.resident_mb()
             most_mb = max(most_mb, resident_mb)
-            record(f"broker: resident {resident_mb:.0f} MB, bad client sent {bad.sent}")
-            if resident_mb > MEMORY_MB:
+            record(f"broker: resident {resident_mb:.0f} MiB, bad client sent {bad.sent}")
+            if resident_mb > MEMORY_MB or broker.has_ended:
                 break
     if flood is not None:
         flood.cancel()
     if 200 not in viewers.statuses.values():
         raise CaseError("no usual viewer was served")
+    if broker.has_ended:
+        return ["the broker has ended"]
     if most_mb > MEMORY_MB:
-        return [f"{most_mb:.0f} MB resident, over the limit of {MEMORY_MB} MB: the platform kills the broker"]
+        return [f"{most_mb:.0f} MiB resident, over the limit of {MEMORY_MB}: the platform kills the broker"]
     return []
 
 
