Review case 7: allow 50 ms and the lateness of the stand-ins

Cause: the bound left out the 50 ms that every limit is longer on sockets. Change: 3.55 s and what the stand-ins' own loop was late; a run in which nobody is served is no verdict; the claim tells the excuses.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,7 +9,19 @@
 from contextlib import suppress
 from pathlib import Path
 
-from standins_2 import Broker, CaseError, Coordinator, Edge, Record, Viewers, listed, run_case, settings
+from standins_2 import (
+    SLACK_S,
+    Broker,
+    CaseError,
+    Coordinator,
+    Edge,
+    LoopLag,
+    Record,
+    Viewers,
+    listed,
+    run_case,
+    settings,
+)
 
 HERE = Path(__file__).resolve().parent
 
@@ -73,6 +85,7 @@
 async def _serve(record: Record, broker: Broker, trouble: bool) -> list[str]:
     viewers = Viewers(record, broker.address)
     await viewers.connect()
+    lag = LoopLag()
     sent_at, started_at, bad = dict[str, float](), time.time(), list[asyncio.Task[None]]()
     while (passed_s := time.time() - started_at) < WATCH_S / 2:
         if trouble and passed_s > 3 and not bad:
@@ -83,10 +96,14 @@
         sent_at[session] = time.time()
         await asyncio.sleep(0.25)
     await asyncio.sleep(started_at + WATCH_S - time.time())
+    if 200 not in viewers.statuses.values():
+        raise CaseError("no usual viewer was served")
+    allowed_s = LEFT_MS / 1_000 + LATE_S + SLACK_S + lag.worst_s
+    record(f"the stand-ins' own loop was {lag.worst_s:.2f} s late at most; allowed {allowed_s:.2f} s")
     faults = []
     for session, at in sent_at.items():
         after_s = viewers.answered_at.get(session, float("inf")) - at
-        if after_s > LEFT_MS / 1_000 + LATE_S:
+        if after_s > allowed_s:
             faults.append(f"{session} was answered {after_s:.2f} s after it was sent, its time was 3 s")
     slowest_s = max(viewers.answered_at[session] - sent_at[session] for session in viewers.answered_at)
     record(f"{len(viewers.answered_at)} of {len(sent_at)} answered, the slowest after {slowest_s:.2f} s")
