Cancel the timers of requests and attempts with their end

Cause: the timers of a request (deadline, attempt, decision module) stayed in the heap until they were due, up to 60 s, also once the request had its answer, and their callbacks held the request with title and description.

Change: a timer has a handle; the entry of a session cancels its timers when it plays, ends or its attempt ends, which drops the callback, and the heap is compacted once half of it is cancelled. StartTimer names its session.

Read for the same cause: every timer and table of routing, core, rtsp/, http/, edge_servers/, endpoint_watch and cells. Left: withdrawn attempts (10 s), times of requests and retries (8 bytes each), changes of a link's use (10 s); HTTP waits end with their request.

--- a/lotuspick/core/actions.py
+++ b/lotuspick/core/actions.py
@@ -47,6 +47,8 @@
 
     timer_id: int
     delay_us: int
+    session: str = ""
+    """The session whose request needs the event: none is needed once it plays or has ended. Empty: none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotuspick/core/admission.py
+++ b/lotuspick/core/admission.py
@@ -88,6 +88,5 @@
         name, constraint = session.request.session, session.constraint
         limit_us = settings.max_retry_after_us * settings.retry_after_allowed
         retry_after_us = min(constraint.retry_after_us or tuning.REJECTION_RETRY_AFTER_US, limit_us)
-        context.queued.pop(name, None)
-        context.sessions.pop(name, None)
+        context.remove_session(name)
         context.emit_observed(RejectSession(name, retry_after_us, constraint.rejection_reason))
--- a/lotuspick/core/context.py
+++ b/lotuspick/core/context.py
@@ -82,9 +82,17 @@
     def start_timer(self, delay_us: int, session: str) -> None:
         """Start a timer for a session; an empty name stands for a retry of the server list subscription."""
         self.timers[self.next_timer] = session
-        self.actions.append(StartTimer(self.next_timer, max(0, delay_us)))
+        if session:
+            self.sessions[session].timers.append(self.next_timer)
+        self.actions.append(StartTimer(self.next_timer, max(0, delay_us), session))
         self.next_timer += 1
 
+    def forget_timers(self, session: SessionState) -> None:
+        """Forget the timers of a session that plays or has ended; their events have no effect any more."""
+        for timer_id in session.timers:
+            self.timers.pop(timer_id, None)
+        session.timers.clear()
+
     # ---- servers ------------------------------------------------------------------------------------------
 
     def add_server(self, entry: ServerEntry) -> ServerState:
@@ -216,6 +224,13 @@
         length_us = session.request.length_us
         session.phase = SessionPhase.PLAYING
         session.ends_at = self.now + (length_us if is_positive(length_us) else math.inf)
+        self.forget_timers(session)
+
+    def remove_session(self, name: str) -> None:
+        """Delete the record of a session that has ended or is rejected, with its timers."""
+        self.queued.pop(name, None)
+        if (session := self.sessions.pop(name, None)) is not None:
+            self.forget_timers(session)
 
     def reserve(
         self, session: SessionState, kb_per_s: float, pool_draws: list[float], reported: bool = False
--- a/lotuspick/core/controller.py
+++ b/lotuspick/core/controller.py
@@ -249,12 +249,12 @@
         context.release(session)
         played = session.phase is SessionPhase.PLAYING or event.outcome == events.AttemptOutcome.SERVED
         if event.final or session.answered or played:
-            del self.sessions[event.session]
+            context.remove_session(event.session)
             return
         session.phase = SessionPhase.QUEUED
         match decide_retry(session, event.outcome, self.settings, context.now):
             case RetryDecision.FAIL:
-                del self.sessions[event.session]
+                context.remove_session(event.session)
                 context.emit_observed(actions.FailSession(event.session))
             case RetryDecision.REJECT:
                 self.admission.reject(session)
@@ -262,8 +262,8 @@
                 self.admission.enqueue(session)
 
     def _on_viewer_disconnected(self, event: events.ViewerDisconnected) -> None:
-        if self.queued.pop(event.session, None):
-            del self.sessions[event.session]
+        if event.session in self.queued:
+            self.context.remove_session(event.session)
         elif (session := self.sessions.get(event.session)) and session.phase is SessionPhase.FORWARDED:
             session.answered = True
 
--- a/lotuspick/core/length_popularity.py
+++ b/lotuspick/core/length_popularity.py
@@ -13,8 +13,11 @@
 
     def __init__(self) -> None:
         """Start without hints: all ranges count as equally popular."""
-        self.window: deque[tuple[int, int, float]] = deque()
-        """Time, pool and length (us) of each hint inside the window, oldest first."""
+        self.window: deque[tuple[int, int, int, float]] = deque()
+        """Time and pool of the hints inside the window, their number and total length (us), oldest first.
+
+        Hints of one time and pool share an entry, so that the size does not grow with the rate of requests.
+        """
         self.hint_count = [0] * tuning.POOL_COUNT
         self.hint_us = [0.0] * tuning.POOL_COUNT
 
@@ -22,9 +25,14 @@
         """Count the length hint of a request received at clock time ``now`` (us); ignore an invalid hint."""
         if not is_positive(length_us):
             return
-        self.window.append((now, pool, length_us))
         self.hint_count[pool] += 1
         self.hint_us[pool] += length_us
+        for index in range(-1, -min(tuning.POOL_COUNT, len(self.window)) - 1, -1):
+            received_at, entry_pool, count, total_us = self.window[index]
+            if received_at == now and entry_pool == pool:
+                self.window[index] = now, pool, count + 1, total_us + length_us
+                return
+        self.window.append((now, pool, 1, length_us))
 
     def turnovers(self, duration_us: int) -> float:
         """Return a duration as a multiple of the mean session length: the number of session turnovers."""
@@ -35,9 +43,9 @@
     def pool_sizes(self, now: int) -> list[float]:
         """Return each pool's share of a link: its popularity times its length, over the sum of all pools."""
         while self.window and self.window[0][0] <= now - tuning.POPULARITY_WINDOW_US:
-            _, pool, length_us = self.window.popleft()
-            self.hint_count[pool] -= 1
-            self.hint_us[pool] -= length_us
+            _, pool, count, total_us = self.window.popleft()
+            self.hint_count[pool] -= count
+            self.hint_us[pool] -= total_us
         total = sum(us for us, count in zip(self.hint_us, self.hint_count) if count)
         if not total:
             return [
--- a/lotuspick/core/state.py
+++ b/lotuspick/core/state.py
@@ -119,5 +119,7 @@
     over_tenant_rate: bool = False
     constraint: PlacementConstraint = UNCONSTRAINED
     """The last constraint from the constraint provider."""
+    timers: list[int] = field(default_factory=list)
+    """Ids of the timers that were started for the session."""
     answered: bool = False
     """The viewer has an answer; only the outcome of the attempt is outstanding."""
--- a/lotuspick/routing/dispatcher.py
+++ b/lotuspick/routing/dispatcher.py
@@ -216,8 +216,7 @@
     def _execute(self, action: Action, now: int) -> None:
         match action:
             case StartTimer():
-                timer_id = action.timer_id
-                self.timers.start(now + max(action.delay_us, 1), lambda _now: TimerFired(timer_id))
+                self._start_timer(action, now)
             case LogMessage():
                 log.info("decision_message", extra={"text": action.text})
             case ServerEjected():
@@ -231,6 +230,16 @@
                 if entry is not None:
                     self._execute_on_session(action, entry, now)
 
+    def _start_timer(self, action: StartTimer, now: int) -> None:
+        """Start a timer of the decision module; one of a session ends with the request of that session."""
+        entry = self.sessions.entries.get(action.session)
+        if action.session and (entry is None or entry.is_playing):
+            return
+        timer_id = action.timer_id
+        timer = self.timers.start(now + max(action.delay_us, 1), lambda _now: TimerFired(timer_id))
+        if entry is not None:
+            entry.timers.append(timer)
+
     def _execute_on_session(
         self, action: SetRung | ForwardAttempt | RejectSession | FailSession, entry: SessionEntry, now: int
     ) -> None:
--- a/lotuspick/routing/message_handlers.py
+++ b/lotuspick/routing/message_handlers.py
@@ -48,7 +48,9 @@
 log = logging.getLogger(__name__)
 
 MAX_OPEN_REQUESTS = 2_000
-"""Maximum number of open requests; at 16 KiB each they stay well within the memory limit."""
+"""Maximum number of open requests."""
+MAX_OPEN_REQUEST_BYTES = 4 << 20
+"""Size of the titles and descriptions of open requests from which further ones are rejected."""
 
 
 class MessageHandlers:
@@ -62,7 +64,7 @@
         Args:
             lifecycle: the sessions and the operations on them.
             session_classes: the classes that requests may name.
-            retry_after_ms: sent with a rejection while :data:`MAX_OPEN_REQUESTS` are open; 0: none.
+            retry_after_ms: sent with a rejection while too many requests are open; 0: none.
         """
         self.lifecycle, self.sessions = lifecycle, lifecycle.sessions
         self.connections, self.timers = lifecycle.connections, lifecycle.timers
@@ -160,11 +162,17 @@
         if not self.admitting:
             send_if_open(message.viewer, lambda viewer: viewer.rejected(session, 0))
             return []
-        if self.sessions.open_request_count >= MAX_OPEN_REQUESTS:
+        if (
+            self.sessions.open_request_count >= MAX_OPEN_REQUESTS
+            or self.sessions.open_request_bytes >= MAX_OPEN_REQUEST_BYTES
+        ):
             send_if_open(message.viewer, lambda viewer: viewer.rejected(session, self.retry_after_ms))
             return []
-        self.sessions.add_request(session, SessionEntry(request, message.description, message.viewer))
-        self.timers.start(request.deadline_us, lambda _now: self._on_deadline(session, request))
+        entry = SessionEntry(request, message.description, message.viewer)
+        self.sessions.add_request(session, entry)
+        entry.timers.append(
+            self.timers.start(request.deadline_us, lambda _now: self._on_deadline(session, request))
+        )
         return [request]
 
     def _on_session_playing(
--- a/lotuspick/routing/session_lifecycle.py
+++ b/lotuspick/routing/session_lifecycle.py
@@ -70,7 +70,7 @@
             ),
         )
         if reason is None:
-            self.timers.start(
+            entry.attempt_timer = self.timers.start(
                 now + max(0, timeout_us), lambda later: self._time_out(session, entry, attempt, later)
             )
         return reason
--- a/lotuspick/routing/session_table.py
+++ b/lotuspick/routing/session_table.py
@@ -12,6 +12,7 @@
 
 from lotuspick.core.events import SessionRequest
 from lotuspick.routing.interfaces import ViewerConnection
+from lotuspick.routing.timers import Timer
 
 DUPLICATE_WINDOW_US = 100_000
 """Maximum age of a duplicate, when the connection of its request closes, to count as sent by the same viewer.
@@ -45,6 +46,12 @@
     phase: DispatchPhase = DispatchPhase.OPEN
     duplicates: dict[ViewerConnection, int] = field(default_factory=dict)
     """Other connections that received the same request while it was open, and the times of receipt."""
+    timers: list[Timer] = field(default_factory=list)
+    """Timers of the open request, cancelled once it plays or has ended."""
+    size_bytes: int = 0
+    """Size of the title and the description of the request."""
+    attempt_timer: Timer | None = None
+    """Timer of the current attempt, cancelled once the attempt is answered or has ended."""
 
     @property
     def is_forwarded(self) -> bool:
@@ -56,6 +63,19 @@
         """Whether the session plays."""
         return self.phase is DispatchPhase.PLAYING
 
+    def cancel_timers(self) -> None:
+        """Cancel the timers of the request and of its attempt."""
+        self.cancel_attempt_timer()
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
+
+    def cancel_attempt_timer(self) -> None:
+        """Cancel the timer of the current attempt."""
+        if self.attempt_timer is not None:
+            self.attempt_timer.cancel()
+            self.attempt_timer = None
+
 
 class SessionTable:
     """All open requests and playing sessions, with their indexes."""
@@ -66,12 +86,15 @@
         self.by_server: dict[str, set[str]] = {}
         self.by_connection: dict[ViewerConnection, set[str]] = {}
         self.open_request_count = 0
+        self.open_request_bytes = 0
 
     def add_request(self, session: str, entry: SessionEntry) -> None:
         """Add an open request."""
         self.entries[session] = entry
         self._link(session, entry.viewer)
+        entry.size_bytes = len(entry.request.title) + len(entry.description)
         self.open_request_count += 1
+        self.open_request_bytes += entry.size_bytes
 
     def add_playing(self, session: str, entry: SessionEntry) -> None:
         """Add a session that already plays at ``entry.server``."""
@@ -88,23 +111,26 @@
 
     def end_attempt(self, session: str, entry: SessionEntry) -> None:
         """End the current attempt; the request stays open."""
+        entry.cancel_attempt_timer()
         entry.phase = DispatchPhase.OPEN
         self._remove_from_server(session, entry)
 
     def begin_playing(self, session: str, entry: SessionEntry) -> None:
-        """Mark an answered request as playing; drop its duplicates."""
+        """Mark an answered request as playing; drop its duplicates and its timers."""
+        entry.cancel_timers()
         entry.phase = DispatchPhase.PLAYING
-        self.open_request_count -= 1
+        self._uncount_open_request(entry)
         self._drop_duplicates(session, entry)
 
     def remove_session(self, session: str, entry: SessionEntry) -> None:
         """Remove a session, unless its id already belongs to another entry. The entry keeps its phase."""
+        entry.cancel_timers()
         if self.entries.get(session) is entry:
             del self.entries[session]
             self._unlink(session, entry.viewer)
             self._drop_duplicates(session, entry)
             if not entry.is_playing:
-                self.open_request_count -= 1
+                self._uncount_open_request(entry)
         self._remove_from_server(session, entry)
 
     def add_duplicate(self, session: str, entry: SessionEntry, viewer: ViewerConnection, now: int) -> None:
@@ -148,6 +174,10 @@
         """Return the sessions and attempts at an edge server, ordered by id."""
         return sorted(self.by_server.get(server, ()))
 
+    def _uncount_open_request(self, entry: SessionEntry) -> None:
+        self.open_request_count -= 1
+        self.open_request_bytes -= entry.size_bytes
+
     def _add_to_server(self, session: str, entry: SessionEntry) -> None:
         self.entries[session] = entry
         self.by_server.setdefault(entry.server, set()).add(session)
--- a/lotuspick/transport/edge_servers/edge_connection.py
+++ b/lotuspick/transport/edge_servers/edge_connection.py
@@ -26,6 +26,8 @@
 
 LENGTH_PREFIX_BYTES = 2  # size of the length field before each message
 PARTIAL_MESSAGE_TIMEOUT_S = 0.25  # after which an incomplete message is considered truncated
+# Of set-ups written while the server does not read: they stay in the write buffer when they are cancelled.
+MAX_BLOCKED_SET_UP_BYTES = 1 << 16
 LINGER_S = 1.0  # time that a closing or replaced connection stays open after its last message
 
 
@@ -41,6 +43,7 @@
         self.address = address or client.address  # fixed, also when the server moves to another address
         self.is_open = False
         self.write_blocked_since_s: float | None = None
+        self.blocked_set_up_bytes = 0  # size of the set-ups written since then
         self.partial_message_since_s: float | None = None
         self.last_message_s = self.last_set_up_s = 0.0
         self.close_reason: TerminationReason | None = None  # set when this side closes the connection
@@ -67,6 +70,13 @@
         """Whether no message has arrived since the last set-up that was written."""
         return self.last_message_s < self.last_set_up_s
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the server does not read, and the write buffer should take no further set-up."""
+        return (
+            self.write_blocked_since_s is not None and self.blocked_set_up_bytes >= MAX_BLOCKED_SET_UP_BYTES
+        )
+
     def has_truncated_message(self, now_s: float) -> bool:
         """Return whether a message has been incomplete for so long that its rest will not arrive."""
         since_s = self.partial_message_since_s
@@ -118,6 +128,7 @@
     def pauseProducing(self) -> None:
         """Record when the edge server stopped reading (Twisted's callback)."""
         self.write_blocked_since_s = self.client.pool.reactor.seconds()
+        self.blocked_set_up_bytes = 0
 
     def resumeProducing(self) -> None:
         """Record that the edge server reads again (Twisted's callback)."""
--- a/lotuspick/transport/edge_servers/edge_server_client.py
+++ b/lotuspick/transport/edge_servers/edge_server_client.py
@@ -112,6 +112,8 @@
         ):
             return TerminationReason.QUEUE_FULL
         if connection is not None and connection.is_open:
+            if item.session and connection.is_full:
+                return TerminationReason.QUEUE_FULL
             self._write(connection, item)
             return None
         if self.address is None:
@@ -127,6 +129,7 @@
         if item.session:
             self.sent_attempts[item.session] = SentAttempt(connection, self.last_write_s)
             connection.last_set_up_s = self.last_write_s
+            connection.blocked_set_up_bytes += len(item.frame)
         connection.sendString(item.frame)
 
     def remove_queued(self, session: str) -> bool:
--- a/tests/routing/test_timers.py
+++ b/tests/routing/test_timers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lotuspick.core.events import Event, TimerFired
-from lotuspick.routing.timers import TimerCallback, TimerQueue
+from lotuspick.routing.timers import MIN_COMPACTION, TimerCallback, TimerQueue
 
 
 def fire_with(token: int) -> TimerCallback:
@@ -45,3 +45,25 @@
     queue.start(5, start_more)
     assert fire_due(queue, 5) == [None, TimerFired(2)]
     assert queue.next_due_us == 6
+
+
+def test_cancelled_timer_neither_fires_nor_counts_as_next() -> None:
+    queue = TimerQueue()
+    first, second = queue.start(5, fire_with(1)), queue.start(6, fire_with(2))
+    first.cancel()
+    first.cancel()
+    assert (len(queue), queue.next_due_us) == (1, 6)
+    assert fire_due(queue, 6) == [TimerFired(2)]
+    second.cancel()
+    assert (len(queue), queue.next_due_us) == (0, None)
+
+
+def test_cancelled_timers_leave_the_heap_before_they_are_due() -> None:
+    """Guards against memory that grows with the requests of a minute: their timers stayed until they were due."""
+    queue = TimerQueue()
+    kept = queue.start(1, fire_with(0))
+    for number in range(100 * MIN_COMPACTION):
+        queue.start(2 + number, fire_with(number)).cancel()
+    assert len(queue._heap) <= 1 + MIN_COMPACTION
+    assert fire_due(queue, 1) == [TimerFired(0)]
+    assert kept.callback is None
--- a/tests/transport/test_edge_server_client.py
+++ b/tests/transport/test_edge_server_client.py
@@ -24,7 +24,7 @@
 )
 from lotuspick.routing.termination import ATTEMPT_OUTCOMES, TerminationReason
 from lotuspick.transport.edge_servers.attempts import QueuedMessage, SentAttempt
-from lotuspick.transport.edge_servers.edge_connection import EdgeConnection
+from lotuspick.transport.edge_servers.edge_connection import MAX_BLOCKED_SET_UP_BYTES, EdgeConnection
 from lotuspick.transport.edge_servers.edge_pool import EdgeLimits, EdgePool
 from lotuspick.transport.edge_servers.edge_server_client import EdgeServerClient
 
@@ -78,6 +78,21 @@
         )
         return connection
 
+    def test_server_that_does_not_read_gets_a_bounded_size_of_set_ups(self) -> None:
+        """Guards against a write buffer that grows with the length of set-ups after they are cancelled."""
+        connection, frame = self.connect(), b"x" * (MAX_BLOCKED_SET_UP_BYTES // 2)
+        self.assertIsNone(self.client.send(QueuedMessage(frame, "s1")))
+        connection.pauseProducing()
+        for session in ("s2", "s3"):
+            self.assertIsNone(self.client.send(QueuedMessage(frame, session)))
+        reason = self.client.send(QueuedMessage(frame, "s4"))
+        assert reason is not None
+        self.assertIn(ATTEMPT_OUTCOMES[reason], PROVES_NOT_EXECUTED)
+        self.assertEqual(set(self.client.sent_attempts), {"s1", "s2", "s3"})
+        self.assertIsNone(self.client.send(QueuedMessage(frame)))  # a release is sent all the same
+        connection.resumeProducing()
+        self.assertIsNone(self.client.send(QueuedMessage(frame, "s4")))
+
     def test_set_up_on_an_idle_connection_starts_no_check(self) -> None:
         """Otherwise each of 40 brokers would replace a connection in use at its first set-up after a pause."""
         self.open_sessions = 0
