Bound the servers that one call examines, and let connections take turns

Cause: all new sessions of a tick were evaluated in one call, and each goes through all servers that hold its title. The bound of 64 held for queued sessions only, and did not count servers.

Ruled out: unlisted servers (the requests name listed positions); reading (16 KiB of a connection at a time).

New sessions are taken by fair queueing over connections, weighted by the servers that each examines; SessionRequest.source names the connection, over RTSP and HTTP, and is no part of what makes two requests equal.

Read for the same cause: retries after a lost server (same queue), queued sessions after a new list (bounded too), failures (constant time), the index of servers (once for lists that follow each other), uplinks that are not reported (a pass over the servers once a call), HTTP (same path). A test of test_admission called the replaced method; it asserts the same of the new one, for sessions that were evaluated before.

--- a/lotuspick/core/admission.py
+++ b/lotuspick/core/admission.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
 
 from lotuspick.core import tuning
 from lotuspick.core.actions import RejectSession
@@ -15,6 +18,14 @@
 from lotuspick.core.tenant_requests import TenantRequests
 
 
+class EvaluationBatch(NamedTuple):
+    """The queued sessions to evaluate in one call."""
+
+    sessions: set[SessionState]
+    backlog: SessionState | None
+    """A new session that has to wait for a later call; None if there is none."""
+
+
 class Admission:
     """Queues sessions, selects the queued sessions to evaluate, and rejects sessions."""
 
@@ -53,8 +64,24 @@
         self.context.queued[name], session.evaluated_at = session, -1
         self.context.start_timer(session.queued_until - self.context.now, name)
 
-    def sessions_to_reevaluate(self) -> set[SessionState]:
-        """Return the most urgent queued sessions; other sessions evaluated before wait for a later call.
+    def sessions_to_evaluate(self) -> EvaluationBatch:
+        """Return the new sessions and the most urgent of the others, as far as the limit on servers permits.
+
+        A call blocks the broker, and a session costs it a step for each server that holds its title.
+        """
+        context, examined = self.context, ExaminedServers(self.context)
+        queued = list(context.queued.values())
+        new = [session for session in queued if session.evaluated_at < 0]
+        sessions = set(examined.within_limit(examined.in_turns(new)))
+        backlog = next((session for session in new if session not in sessions), None)
+        if backlog is not None:
+            queued = [session for session in queued if session.evaluated_at >= 0]
+        urgent = self._most_urgent(queued)
+        sessions.update(examined.within_limit(session for session in urgent if session.evaluated_at >= 0))
+        return EvaluationBatch(sessions, backlog)
+
+    def _most_urgent(self, candidates: Iterable[SessionState]) -> list[SessionState]:
+        """Return the sessions to evaluate again, most urgent first.
 
         Order of urgency: sessions whose wait has ended, sessions whose title is at a changed position, the
         least recently evaluated sessions, sessions of the class with the highest weight.
@@ -67,7 +94,7 @@
             class_weight = class_weights[session.session_class.name]
             return session.queued_until > now, not near_change, session.evaluated_at, -class_weight
 
-        return set(heapq.nsmallest(tuning.REEVALUATION_BATCH_SIZE, context.queued.values(), key=urgency))
+        return heapq.nsmallest(tuning.REEVALUATION_BATCH_SIZE, candidates, key=urgency)
 
     def may_be_forwarded(self, session: SessionState) -> bool:
         """Return whether the deadline, the retry budget and the title session limit permit an attempt now."""
@@ -90,3 +117,44 @@
         retry_after_us = min(constraint.retry_after_us or tuning.REJECTION_RETRY_AFTER_US, limit_us)
         context.remove_session(name)
         context.emit_observed(RejectSession(name, retry_after_us, constraint.rejection_reason))
+
+
+class ExaminedServers:
+    """The number of servers that an evaluation examines: those that hold the session's title."""
+
+    def __init__(self, context: BrokerContext) -> None:
+        self.context = context
+        self._count_by_holders = dict[tuple[int, int], int]()
+
+    def count(self, request: SessionRequest) -> int:
+        """Return the number of servers to examine for a request, at least 1."""
+        key = request.home_position, request.copies
+        if key not in self._count_by_holders:
+            positions = request.holder_positions(self.context.settings.positions)
+            servers = sum(len(self.context.servers_by_position.get(position, ())) for position in positions)
+            self._count_by_holders[key] = max(1, servers)
+        return self._count_by_holders[key]
+
+    def in_turns(self, sessions: Iterable[SessionState]) -> list[SessionState]:
+        """Order sessions by what their source has examined with them, so that no source delays the others.
+
+        Sessions of one source keep their order (fair queueing: by the end of each session's service, if all
+        sources were served at once).
+        """
+        examined_by_source = Counter[str]()
+        ranked = []
+        for index, session in enumerate(sessions):
+            source = session.request.source
+            examined_by_source[source] += self.count(session.request)
+            ranked.append((examined_by_source[source], index, session))
+        return [session for _, _, session in sorted(ranked, key=lambda item: item[:2])]
+
+    def within_limit(self, sessions: Iterable[SessionState]) -> list[SessionState]:
+        """Return the first sessions that examine at most ``EXAMINED_SERVERS_LIMIT`` servers; at least one."""
+        remaining, selected = tuning.EXAMINED_SERVERS_LIMIT, list[SessionState]()
+        for session in sessions:
+            remaining -= self.count(session.request)
+            if selected and remaining < 0:
+                break
+            selected.append(session)
+        return selected
--- a/lotuspick/core/controller.py
+++ b/lotuspick/core/controller.py
@@ -185,11 +185,13 @@
     def _evaluate_queue(self) -> None:
         """Forward the queued sessions that fit, and reject sessions whose wait has ended."""
         loads = self.context.measure_loads()
-        reevaluated = self.admission.sessions_to_reevaluate()
+        batch = self.admission.sessions_to_evaluate()
         for session in list(self.queued.values()):
-            evaluate = session.evaluated_at < 0 or session in reevaluated
+            evaluate = session in batch.sessions
             if not (evaluate and self._evaluate(session, loads)) and self.context.now >= session.queued_until:
                 self.admission.reject(session)
+        if batch.backlog is not None and batch.backlog.request.session in self.queued:
+            self.context.start_timer(0, batch.backlog.request.session)
         if self.queued and not self.queue_poll_pending:
             self.queue_poll_pending = True
             poll = actions.StartTimer(QUEUE_POLL_TIMER, tuning.QUEUE_POLL_INTERVAL_US)
--- a/lotuspick/core/events.py
+++ b/lotuspick/core/events.py
@@ -94,6 +94,11 @@
     returned: bool = False
     token: str = field(default="", kw_only=True)
     """The entitlement token as received; only constraint providers read it."""
+    source: str = field(default="", kw_only=True, compare=False)
+    """The connection that the request came from: sources take turns if not all requests can be evaluated.
+
+    A request that is repeated on another connection is the same request.
+    """
 
     def __post_init__(self) -> None:
         require_not_negative(
--- a/lotuspick/protocol/rtsp.py
+++ b/lotuspick/protocol/rtsp.py
@@ -184,7 +184,11 @@
 
 
 def parse_set_up(
-    message: Message, now_us: int, set_up_limits: SetUpLimits, viewer: ViewerConnection | None = None
+    message: Message,
+    now_us: int,
+    set_up_limits: SetUpLimits,
+    viewer: ViewerConnection | None = None,
+    source: str = "",
 ) -> SessionRequested:
     """Convert a SETUP request to a message for the dispatcher; check it against the limits of the site.
 
@@ -193,6 +197,7 @@
         now_us: The time at which the request was read; its deadline counts from then.
         set_up_limits: The limits of its fields; a home beyond the positions would be another title's home.
         viewer: The connection that received the request.
+        source: Identifies the connection for the decision module.
 
     Raises:
         ProtocolError: The request is invalid; the text names the header.
@@ -218,6 +223,7 @@
         "moved": fields.get("moved") == "1",
         "returned": fields.get("again") == "1",
         "token": message.headers.get(TOKEN_HEADER, ""),
+        "source": source,
     }
     if "at" in fields:
         return SessionRequested(SessionPlaying(**common, server=fields["at"]), viewer=viewer)
--- a/lotuspick/transport/http/http_server.py
+++ b/lotuspick/transport/http/http_server.py
@@ -35,7 +35,7 @@
 from lotuspick.routing.termination import TerminationReason
 from lotuspick.transport.http.bounded_site import BoundedSite
 from lotuspick.transport.http.http_player import HttpPlayer, respond
-from lotuspick.transport.sockets import Reactor, now_us
+from lotuspick.transport.sockets import Reactor, now_us, peer_address
 
 if TYPE_CHECKING:
     from lotuspick.entitlement.renewal import RenewalRejection, RenewToken
@@ -156,7 +156,10 @@
         )
         session = message.session
         requested = rtsp.parse_set_up(
-            message, self.http_server.earliest_arrival_us(), self.http_server.set_up_limits
+            message,
+            self.http_server.earliest_arrival_us(),
+            self.http_server.set_up_limits,
+            source=peer_address(request.transport),
         )
         if isinstance(requested.request, SessionPlaying):
             raise ProtocolError("P-Path at is not taken here")
--- a/lotuspick/transport/rtsp/rtsp_connection.py
+++ b/lotuspick/transport/rtsp/rtsp_connection.py
@@ -23,6 +23,7 @@
     has_unsent_output,
     loss_reason,
     now_us,
+    peer_address,
     readable,
     shut_down,
 )
@@ -60,6 +61,7 @@
         self._body = b""
         self._malformed_count = 0
         self._opened_s = 0.0
+        self._peer = ""
         self._message_timer: Any = None
         self._write_timer: Any = None
         self._backpressure_timer: Any = None
@@ -70,6 +72,7 @@
         """Register with the server, and wait for the first message (Twisted's callback)."""
         self.is_open = True
         self._opened_s = self.server.reactor.seconds()
+        self._peer = peer_address(self.transport)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._start_message_timer()
@@ -302,7 +305,8 @@
             case "SETUP":
                 # The viewer's timeout starts when it sends the message, which may have waited unread here.
                 arrived_us = self.server.earliest_arrival_us()
-                self.server.post(rtsp.parse_set_up(message, arrived_us, self.server.set_up_limits, self))
+                limits, source = self.server.set_up_limits, self._peer
+                self.server.post(rtsp.parse_set_up(message, arrived_us, limits, self, source))
             case "TEARDOWN":
                 self.server.post(SessionCancelled(message.session))
                 self._write(rtsp.response(rtsp.SERVED, cseq, message.session))
--- a/lotuspick/transport/sockets.py
+++ b/lotuspick/transport/sockets.py
@@ -61,6 +61,12 @@
     return bool(getattr(transport, "dataBuffer", b"") or getattr(transport, "_tempDataBuffer", ()))
 
 
+def peer_address(transport: Any) -> str:
+    """The address of the peer of a Twisted transport, which identifies its connection while it is open."""
+    peer = transport.getPeer()
+    return f"{getattr(peer, 'host', '')}:{getattr(peer, 'port', '')}"
+
+
 def shut_down(connection: socket.socket) -> None:
     """Shut down both directions of a connection, so that the peer detects the close at once.
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -49,9 +49,10 @@
         for session in sessions:
             session.queued_until = NOW + SECOND
             self.admission.enqueue(session)
+            session.evaluated_at = NOW - SECOND
         sessions[-1].queued_until = NOW
         self.context.changed_positions = {count - 2}
-        reevaluated = self.admission.sessions_to_reevaluate()
+        reevaluated = self.admission.sessions_to_evaluate().sessions
         self.assertEqual(len(reevaluated), tuning.REEVALUATION_BATCH_SIZE)
         self.assertLessEqual({sessions[-1], sessions[-2]}, reevaluated)
 
