Keep the ids of paid sessions that ran, so that none is set up twice

Cause: the id of a withdrawn attempt was refused only until its result was known. The answer that showed that it had run made the broker release the session and forget the id; so did each other end of a session.

Change: ExecutedSessions keeps the id of a session that ran or may have run, of classes that forbid repetition, for 10 s after its end; a set-up with it fails. A proof that a withdrawn attempt never ran frees the id. At 32,768 ids further set-ups of these classes are rejected, so that no id is forgotten early.

Read for the same cause: every call that removes a session (answer and release, error, reset, leave, TEARDOWN, shutdown, hand-over); all go through one method now. Eviction and the broker's own close end no session that plays.

--- a/lotuspick/core/settings.py
+++ b/lotuspick/core/settings.py
@@ -147,6 +147,15 @@
     tenant_rates: Mapping[str, float] = field(default_factory=dict)
     """Permitted requests per second of each tenant, over all brokers."""
 
+    @property
+    def single_execution_classes(self) -> frozenset[str]:
+        """The names of the classes whose sessions may be executed only once."""
+        return frozenset(
+            session_class.name
+            for session_class in self.classes
+            if session_class.retry_safety != RetrySafety.IDEMPOTENT
+        )
+
     def capacity(self, entry: ServerEntry) -> tuple[float, float]:
         """Return the maximum number of streams of a server and its link capacity in kB per second.
 
--- a/lotuspick/plugin.py
+++ b/lotuspick/plugin.py
@@ -207,6 +207,7 @@
             period_us,
             frozenset(session_class.name for session_class in settings.classes),
             overload_retry_after_ms(settings),
+            settings.single_execution_classes,
         )
         self._next_tick_us: int | None = None  # None: no tick is scheduled
         self._condition = threading.Condition()
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -79,6 +79,7 @@
             config.period_us,
             classes,
             overload_retry_after_ms(config.settings),
+            config.settings.single_execution_classes,
         )
         self.rtsp_server = RtspServer(
             reactor,
--- a/lotuspick/routing/dispatcher.py
+++ b/lotuspick/routing/dispatcher.py
@@ -68,6 +68,7 @@
         period_us: int,
         session_classes: frozenset[str],
         retry_after_ms: int = 0,
+        single_execution_classes: frozenset[str] = frozenset(),
     ) -> None:
         """Start without sessions.
 
@@ -79,6 +80,7 @@
             period_us: time between two ticks; shorter after a :class:`LedgerCommitted`.
             session_classes: the classes that requests may name.
             retry_after_ms: sent with a rejection while too many requests are open; 0: none.
+            single_execution_classes: the classes whose sessions may be executed only once.
         """
         self.decisions, self.edge_servers, self.clock, self.schedule_tick = (
             decisions,
@@ -88,7 +90,7 @@
         )
         self.period_us = period_us
         self.inbox: deque[InboundMessage] = deque()
-        self.lifecycle = SessionLifecycle(edge_servers, clock)
+        self.lifecycle = SessionLifecycle(edge_servers, clock, single_execution_classes)
         self.sessions, self.connections = self.lifecycle.sessions, self.lifecycle.connections
         self.timers = self.lifecycle.timers
         self.handlers = MessageHandlers(self.lifecycle, session_classes, retry_after_ms)
@@ -129,6 +131,7 @@
             if event is not None:
                 events.append(event)
         self.lifecycle.indeterminate.expire(now - INDETERMINATE_US)
+        self.lifecycle.executed.expire(now)
         self.connections.drop_expired_releases(now)
         if events or self.handlers.expired:
             self._decide(now, events)
--- a/lotuspick/routing/message_handlers.py
+++ b/lotuspick/routing/message_handlers.py
@@ -69,6 +69,7 @@
         self.lifecycle, self.sessions = lifecycle, lifecycle.sessions
         self.connections, self.timers = lifecycle.connections, lifecycle.timers
         self.edge_servers, self.indeterminate = lifecycle.edge_servers, lifecycle.indeterminate
+        self.executed = lifecycle.executed
         self.session_classes, self.retry_after_ms = session_classes, retry_after_ms
         self.admitting = True  # False while the broker stops
         self.expired: list[tuple[str, SessionRequest]] = []
@@ -152,9 +153,9 @@
 
     def _open_request(self, message: SessionRequested, *, in_use: bool) -> list[Event]:
         request, session = message.request, message.request.session
-        # A request may be repeated under its id after its connection closed, while one of its attempts may
-        # still be executed: a set-up that is not idempotent must not be sent twice.
-        in_use = in_use or session in self.indeterminate
+        # A request may be repeated under its id after its connection closed, when one of its attempts was or
+        # may still be executed: a set-up that is not idempotent must not be sent twice.
+        in_use = in_use or session in self.indeterminate or session in self.executed
         if in_use or request.session_class not in self.session_classes:
             reason = "id in use" if in_use else f"unknown class {request.session_class}"
             send_if_open(message.viewer, lambda viewer: viewer.failed(session, reason))
@@ -165,6 +166,7 @@
         if (
             self.sessions.open_request_count >= MAX_OPEN_REQUESTS
             or self.sessions.open_request_bytes >= MAX_OPEN_REQUEST_BYTES
+            or self.executed.is_full_for(request.session_class)
         ):
             send_if_open(message.viewer, lambda viewer: viewer.rejected(session, self.retry_after_ms))
             return []
@@ -289,6 +291,8 @@
             and ATTEMPT_OUTCOMES[message.reason_before_answer] in PROVES_NOT_EXECUTED
             and self.indeterminate.resolve(session, server)
         ):
+            if session not in self.indeterminate:
+                self.executed.discard(session)
             events.append(AttemptResolved(session, server, executed=False))
         if message.load_report:
             outcome = AttemptOutcome.UNSENT
--- a/lotuspick/routing/session_lifecycle.py
+++ b/lotuspick/routing/session_lifecycle.py
@@ -10,7 +10,14 @@
 from collections.abc import Callable
 
 from lotuspick.core.actions import ForwardAttempt
-from lotuspick.core.events import AttemptEnded, Event, LoadReport, ViewerDisconnected
+from lotuspick.core.events import (
+    PROVES_NOT_EXECUTED,
+    AttemptEnded,
+    Event,
+    LoadReport,
+    ViewerDisconnected,
+)
+from lotuspick.routing.executed_sessions import ExecutedSessions
 from lotuspick.routing.indeterminate_attempts import IndeterminateAttempts
 from lotuspick.routing.interfaces import AttemptRequest, EdgeServers, ViewerConnection
 from lotuspick.routing.session_table import SessionEntry, SessionTable
@@ -30,15 +37,27 @@
 
 
 class SessionLifecycle:
-    """Owns the session table, the viewer connections, the timers and the indeterminate attempts."""
+    """Owns the session table, the viewer connections, the timers and the records of past attempts."""
 
-    def __init__(self, edge_servers: EdgeServers, clock: Callable[[], int]) -> None:
-        """Start without sessions; ``clock`` returns integer microseconds."""
+    def __init__(
+        self,
+        edge_servers: EdgeServers,
+        clock: Callable[[], int],
+        single_execution_classes: frozenset[str] = frozenset(),
+    ) -> None:
+        """Start without sessions.
+
+        Args:
+            edge_servers: the connections to the edge servers.
+            clock: returns integer microseconds.
+            single_execution_classes: the classes whose sessions may be executed only once.
+        """
         self.edge_servers, self.clock = edge_servers, clock
         self.sessions = SessionTable()
         self.connections = ViewerConnections()
         self.timers = TimerQueue()
         self.indeterminate = IndeterminateAttempts()  # withdrawn after they were sent
+        self.executed = ExecutedSessions(single_execution_classes)  # that have ended
 
     def start_attempt(
         self, action: ForwardAttempt, entry: SessionEntry, now: int
@@ -119,6 +138,8 @@
             },
         )
         event = _attempt_ended(session, entry, reason, now, load_report)
+        if event.outcome not in PROVES_NOT_EXECUTED:
+            entry.may_have_executed = True
         self.sessions.end_attempt(session, entry)
         return event
 
@@ -130,6 +151,7 @@
             reason = TerminationReason.UNSENT  # it was still queued
         else:
             self.indeterminate.add(session, entry.server, now)
+            entry.may_have_executed = True
         event = _attempt_ended(session, entry, reason, self.clock(), final=final)
         self.sessions.end_attempt(session, entry)
         return event
@@ -140,7 +162,7 @@
         if entry.is_forwarded:
             reason = TerminationReason.CANCELLED_BY_VIEWER
             events.append(self.withdraw_attempt(session, entry, reason, now, final=True))
-        self.sessions.remove_session(session, entry)
+        self._remove_session(session, entry, now)
         return events
 
     def answer_request(
@@ -154,7 +176,7 @@
             reason = TerminationReason.ANSWERED_MEANWHILE
             event = self.withdraw_attempt(session, entry, reason, now, final=True)
             self.timers.start(0, lambda _now: event)  # passed to the decision module in the next tick
-        self.sessions.remove_session(session, entry)
+        self._remove_session(session, entry, now)
 
     def end_session(
         self,
@@ -166,7 +188,7 @@
     ) -> AttemptEnded:
         """End a playing session; inform its viewer unless the viewer ended it."""
         event = _attempt_ended(session, entry, reason, now, load_report, final=True)
-        self.sessions.remove_session(session, entry)
+        self._remove_session(session, entry, now)
         if reason is not TerminationReason.REVOKED:
             self.connections.release(session, entry.viewer, reason, now)
         return event
@@ -194,6 +216,12 @@
                 self.end_session(session, entry, TerminationReason.BROKER_STOPPED, now)
         self.connections.drop_releases_without_viewer()
 
+    def _remove_session(self, session: str, entry: SessionEntry, now: int) -> None:
+        """Remove a session that has ended; keep its id if it must not be executed again."""
+        if entry.may_have_executed:
+            self.executed.add(session, entry.request.session_class, now)
+        self.sessions.remove_session(session, entry)
+
     def _time_out(self, session: str, entry: SessionEntry, attempt: int, now: int) -> Event | None:
         if not entry.is_forwarded or entry.attempt != attempt:
             return None  # the attempt has already ended
--- a/lotuspick/routing/session_table.py
+++ b/lotuspick/routing/session_table.py
@@ -48,6 +48,8 @@
     """Other connections that received the same request while it was open, and the times of receipt."""
     timers: list[Timer] = field(default_factory=list)
     """Timers of the open request, cancelled once it plays or has ended."""
+    may_have_executed: bool = False
+    """Whether an attempt was or may have been executed."""
     size_bytes: int = 0
     """Size of the title and the description of the request."""
     attempt_timer: Timer | None = None
@@ -98,7 +100,7 @@
 
     def add_playing(self, session: str, entry: SessionEntry) -> None:
         """Add a session that already plays at ``entry.server``."""
-        entry.phase = DispatchPhase.PLAYING
+        entry.phase, entry.may_have_executed = DispatchPhase.PLAYING, True
         self._add_to_server(session, entry)
         self._link(session, entry.viewer)
 
@@ -118,7 +120,7 @@
     def begin_playing(self, session: str, entry: SessionEntry) -> None:
         """Mark an answered request as playing; drop its duplicates and its timers."""
         entry.cancel_timers()
-        entry.phase = DispatchPhase.PLAYING
+        entry.phase, entry.may_have_executed = DispatchPhase.PLAYING, True
         self._uncount_open_request(entry)
         self._drop_duplicates(session, entry)
 
--- a/tests/routing/test_ended_requests.py
+++ b/tests/routing/test_ended_requests.py
@@ -39,7 +39,13 @@
         )
         classes = frozenset({"clip", "exam"})
         self.dispatcher = SessionDispatcher(
-            self.core, self.edge_servers, lambda: self.now, lambda at: None, 10_000, classes
+            self.core,
+            self.edge_servers,
+            lambda: self.now,
+            lambda at: None,
+            10_000,
+            classes,
+            single_execution_classes=frozenset({"exam"}),
         )
         self.viewer = Mock(is_open=True, is_closed_by_viewer=False)
 
@@ -50,7 +56,7 @@
         self.dispatcher.tick()
 
     def ask(self, session: str, **changes: object) -> None:
-        asked = request(session, deadline_us=self.now + DAY_US, **changes)
+        asked = request(session, **{"deadline_us": self.now + DAY_US, **changes})
         self.tick(SessionRequested(asked, b"sdp", self.viewer))
 
     def server_of(self, session: str) -> str:
@@ -98,6 +104,7 @@
     broker.now += INDETERMINATE_US
     broker.tick()
     assert not broker.dispatcher.lifecycle.indeterminate.servers
+    assert len(broker.dispatcher.lifecycle.executed) == 0
 
 
 def test_requests_that_are_turned_away_leave_no_timer() -> None:
