End the sessions of a server whose address a new process has

Cause: after the reset the broker dials again and the new process accepts. When the list gave the address to the new id, the old client lost it, but kept its connection and its sessions; answers of the new process kept them alive.

Before the list says so nothing shows that another process listens there.

Change: a reported start at the address of another client, also of one that was removed before, ends its sessions and attempts (EdgeServerReplaced) and releases them on its connection, unless that connection is older than the start.

Read for the same cause: dials under way, queued set-ups, restarts under the same id, HTTP nodes (fixed addresses).

--- a/lotuspick/routing/message_handlers.py
+++ b/lotuspick/routing/message_handlers.py
@@ -30,6 +30,7 @@
     EdgeServerFailed,
     EdgeServerNotified,
     EdgeServerReleased,
+    EdgeServerReplaced,
     EndpointListChanged,
     HintReceived,
     InboundMessage,
@@ -97,6 +98,8 @@
                 return self._on_attempt_terminated(message, now)
             case EdgeServerFailed():
                 return self._on_server_failed(message, now)
+            case EdgeServerReplaced():
+                return self._on_server_replaced(message, now)
             case EndpointListChanged():
                 return self._on_endpoint_list(message, now)
             case SessionRevoked():
@@ -318,6 +321,21 @@
         ended = self.lifecycle.end_sessions_at(message.server, message.reason, now, before_us=now)
         return [ServerFailed(message.server), *ended]
 
+    def _on_server_replaced(self, message: EdgeServerReplaced, now: int) -> list[Event]:
+        """End all sessions and attempts, also those that another server plays under this server's id."""
+        server, events = message.server, list[Event]()
+        for session in self.sessions.sessions_at(server):
+            entry = self.sessions.entries[session]
+            if entry.is_playing:
+                self.edge_servers.release(server, session, TerminationReason.SERVER_DOWN)
+                reason = TerminationReason.SERVER_DOWN
+                events.append(self.lifecycle.end_session(session, entry, reason, now))
+            else:
+                is_unsent = self.edge_servers.cancel_attempt(server, session)
+                reason = TerminationReason.UNSENT if is_unsent else TerminationReason.ADDRESS_CHANGED
+                events.append(self.lifecycle.end_attempt(session, entry, reason, now))
+        return events
+
     # ---- from the fleet
 
     def _on_endpoint_list(self, message: EndpointListChanged, now: int) -> list[Event]:
--- a/lotuspick/routing/messages.py
+++ b/lotuspick/routing/messages.py
@@ -104,6 +104,16 @@
     reason: TerminationReason
 
 
+@dataclass(frozen=True, slots=True)
+class EdgeServerReplaced:
+    """The process of an edge server has gone, and another server listens at its address.
+
+    Its sessions have ended. Those that were set up at the address since then play at the other server.
+    """
+
+    server: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointListChanged:
     """The endpoint list has changed."""
@@ -149,6 +159,7 @@
     | AttemptTerminated
     | AttemptWritten
     | EdgeServerFailed
+    | EdgeServerReplaced
     | EndpointListChanged
     | HintReceived
     | TenantRatesUpdated
--- a/lotuspick/transport/edge_servers/edge_connection.py
+++ b/lotuspick/transport/edge_servers/edge_connection.py
@@ -17,7 +17,7 @@
 from lotuspick.protocol import edge_messages as wire
 from lotuspick.protocol.errors import MAX_MESSAGE_BYTES, ProtocolError
 from lotuspick.routing.termination import TerminationReason
-from lotuspick.transport.sockets import loss_reason
+from lotuspick.transport.sockets import loss_reason, now_us
 
 if TYPE_CHECKING:
     from lotuspick.transport.edge_servers.edge_server_client import EdgeServerClient
@@ -42,6 +42,7 @@
         self.client = client
         self.address = address or client.address  # fixed, also when the server moves to another address
         self.is_open = False
+        self.opened_us = 0
         self.write_blocked_since_s: float | None = None
         self.blocked_set_up_bytes = 0  # size of the set-ups written since then
         self.partial_message_since_s: float | None = None
@@ -51,7 +52,7 @@
 
     def connectionMade(self) -> None:
         """Register the connection with the pool (Twisted's callback)."""
-        self.is_open = True
+        self.is_open, self.opened_us = True, now_us()
         self.client.pool.connections.add(self)
         self.last_message_s = self.client.pool.reactor.seconds()
         self.transport.setTcpNoDelay(True)
--- a/lotuspick/transport/edge_servers/edge_pool.py
+++ b/lotuspick/transport/edge_servers/edge_pool.py
@@ -54,6 +54,7 @@
         self.viewer_waits = viewer_waits
         self.clients: dict[str, EdgeServerClient] = {}
         self.clients_by_address: dict[tuple[str, int], EdgeServerClient] = {}
+        self.former_clients: dict[tuple[str, int], EdgeServerClient] = {}  # by an address without a server
         self.connections: set[EdgeConnection] = set()  # with an open socket, closing ones included
         self.dialing: set[EdgeServerClient] = set()
         self.checking: set[EdgeServerClient] = set()  # whose current dial is a liveness check
@@ -103,7 +104,7 @@
         """Apply the addresses of one update of the endpoint list.
 
         An address may be reused by another server. Any other client with that address loses it, so that it
-        does not dial the wrong server.
+        does not dial the wrong server, and its sessions end with its process.
         """
         for entry in update.servers:
             client = self._client(entry.server)
@@ -111,7 +112,7 @@
             if entry.state == "gone":
                 self._remove_address(client)
                 continue
-            self._assign_address(client, addresses[entry.server])
+            self._assign_address(client, addresses[entry.server], entry.started_us)
         if update.complete:
             listed = {entry.server for entry in update.servers}
             for server, client in self.clients.items():
@@ -163,19 +164,29 @@
         """The number of clients without an address."""
         return len(self.clients) - len(self.clients_by_address)
 
-    def _assign_address(self, client: EdgeServerClient, address: tuple[str, int]) -> None:
+    def _assign_address(self, client: EdgeServerClient, address: tuple[str, int], started_us: int) -> None:
         if client.address != address:
             self._remove_address(client)
-        previous = self.clients_by_address.get(address)
+        previous = self.clients_by_address.get(address) or self.former_clients.get(address)
+        self._forget_former(client)
         if previous is not None and previous is not client:
-            previous.address = None
+            self._forget_former(previous)
+            previous.lose_address(started_us)
         self.clients_by_address[address] = client
         client.set_address(address)
 
     def _remove_address(self, client: EdgeServerClient) -> None:
         if client.address is not None:
             self.clients_by_address.pop(client.address, None)
-            client.address = None
+            self._forget_former(client)
+            self.former_clients[client.address] = client
+            client.former_address, client.address = client.address, None
+
+    def _forget_former(self, client: EdgeServerClient) -> None:
+        """Forget the address that a client had."""
+        if client.former_address is not None and self.former_clients.get(client.former_address) is client:
+            del self.former_clients[client.former_address]
+        client.former_address = None
 
     def _client(self, server: str) -> EdgeServerClient:
         if server not in self.clients:
@@ -206,4 +217,5 @@
             client.sweep(now_s)
             if client.address is None and client.connection is None and client.is_idle and not client.dialing:
                 del self.clients[server]
+                self._forget_former(client)
         self._check_suspected_zones(now_s)
--- a/lotuspick/transport/edge_servers/edge_server_client.py
+++ b/lotuspick/transport/edge_servers/edge_server_client.py
@@ -20,6 +20,7 @@
     AttemptWritten,
     EdgeServerFailed,
     EdgeServerReleased,
+    EdgeServerReplaced,
 )
 from lotuspick.routing.termination import ATTEMPT_OUTCOMES, TerminationReason
 from lotuspick.transport.edge_servers.attempts import QueuedMessage, SentAttempt
@@ -55,6 +56,7 @@
     def __init__(self, pool: EdgePool, server: str) -> None:
         self.pool, self.server = pool, server
         self.address: tuple[str, int] | None = None
+        self.former_address: tuple[str, int] | None = None  # removed from the list, and of no server since
         self.zone: str | None = None  # None: the server was never listed
         self.draining = False
         self.connection: EdgeConnection | None = None
@@ -196,6 +198,18 @@
             self._replace(old)
         self.address = address
 
+    def lose_address(self, started_us: int) -> None:
+        """Handle that another server, which started at ``started_us``, listens at this server's address.
+
+        A connection that was opened before proves that this server's process is still there. Without a
+        reported start (0) nothing is known about it.
+        """
+        self.address = None
+        connection = self.connection
+        is_older = connection is not None and connection.is_open and connection.opened_us < started_us
+        if started_us and not is_older:
+            self.pool.post(EdgeServerReplaced(self.server))
+
     def _on_connected(self, connection: EdgeConnection, address: tuple[str, int]) -> None:
         self._finish_dial(healthy=True)
         self.failed_dials = 0
@@ -412,10 +426,15 @@
             self.dial("unresponsive")
         elif (has_sessions or self.sent_attempts) and self._silent_s(now_s) > self._silence_limit_s():
             self._check_silent(now_s)
-        elif is_idle and now_s - max(self.last_write_s, self.last_message_s) > limits.idle_timeout_s:
+        elif is_idle and now_s - max(self.last_write_s, self.last_message_s) > self._idle_timeout_s():
             self.connection = None
             connection.close_after_flush()
 
+    def _idle_timeout_s(self) -> float:
+        """Return the idle time after which the connection is closed; shorter without an address."""
+        limit_s = self.pool.limits.idle_timeout_s
+        return limit_s if self.address is not None else min(limit_s, LINGER_S)
+
     def _is_unresponsive(self, connection: EdgeConnection, now_s: float) -> bool:
         return not self.replaced and any(
             sent.connection is connection and sent.is_unresponsive(now_s)
--- a/tests/transport/test_edge_server_client.py
+++ b/tests/transport/test_edge_server_client.py
@@ -21,6 +21,7 @@
     AttemptTerminated,
     EdgeServerFailed,
     EdgeServerReleased,
+    EdgeServerReplaced,
 )
 from lotuspick.routing.termination import ATTEMPT_OUTCOMES, TerminationReason
 from lotuspick.transport.edge_servers.attempts import QueuedMessage, SentAttempt
@@ -93,6 +94,36 @@
         connection.resumeProducing()
         self.assertIsNone(self.client.send(QueuedMessage(frame, "s4")))
 
+    def list_at_the_address(self, started_us: int, removed_first: bool) -> list[Any]:
+        """List a new server at the address of the client, which may be removed first; return what is posted."""
+        address = ("127.0.0.1", 9)
+        self.pool.update_endpoints(ServerListUpdate([ServerEntry("e", "a", "box", 0)]), {"e": address})
+        if removed_first:
+            self.pool.update_endpoints(ServerListUpdate([ServerEntry("e", "a", "box", 0, "gone")]), {})
+        new = ServerEntry("new", "a", "box", 0, started_us=started_us)
+        self.pool.update_endpoints(ServerListUpdate([new]), {"new": address})
+        self.assertIsNone(self.client.address)
+        self.assertFalse(self.pool.former_clients)
+        return self.posted
+
+    def test_server_is_replaced_by_one_that_started_before_its_connection_was_opened(self) -> None:
+        for removed_first in (False, True):
+            with self.subTest(removed_first=removed_first):
+                self.setUp()
+                self.connect().opened_us = 1_000
+                self.assertEqual(self.list_at_the_address(999, removed_first), [EdgeServerReplaced("e")])
+
+    def test_server_without_a_connection_is_replaced(self) -> None:
+        self.assertEqual(self.list_at_the_address(999, True), [EdgeServerReplaced("e")])
+
+    def test_server_whose_connection_is_older_than_the_new_one_is_not_replaced(self) -> None:
+        self.connect().opened_us = 998
+        self.assertEqual(self.list_at_the_address(999, False), [])
+
+    def test_server_is_not_replaced_without_a_reported_start(self) -> None:
+        self.connect().opened_us = 1_000
+        self.assertEqual(self.list_at_the_address(0, False), [])
+
     def test_set_up_on_an_idle_connection_starts_no_check(self) -> None:
         """Otherwise each of 40 brokers would replace a connection in use at its first set-up after a pause."""
         self.open_sessions = 0
