Limit the sessions that viewers report

Cause: a report adds a session without an attempt, nothing ends one that its server does not know, and neither their number nor the length of their texts was limited.

The limit of texts of open requests counts the token, the viewer and the tenant too.

Open: fake sessions keep places of a server at this broker.

--- a/lotuspick/core/settings.py
+++ b/lotuspick/core/settings.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -147,6 +148,11 @@
     tenant_rates: Mapping[str, float] = field(default_factory=dict)
     """Permitted requests per second of each tenant, over all brokers."""
 
+    @property
+    def largest_stream_limit(self) -> int:
+        """The maximum number of streams on a server of the largest kind."""
+        return math.ceil(max(self.stream_limit_by_kind.values()))
+
     @property
     def single_execution_classes(self) -> frozenset[str]:
         """The names of the classes whose sessions may be executed only once."""
--- a/lotuspick/plugin.py
+++ b/lotuspick/plugin.py
@@ -208,6 +208,7 @@
             frozenset(session_class.name for session_class in settings.classes),
             overload_retry_after_ms(settings),
             settings.single_execution_classes,
+            settings.largest_stream_limit,
         )
         self._next_tick_us: int | None = None  # None: no tick is scheduled
         self._condition = threading.Condition()
--- a/lotuspick/program/daemon.py
+++ b/lotuspick/program/daemon.py
@@ -80,6 +80,7 @@
             classes,
             overload_retry_after_ms(config.settings),
             config.settings.single_execution_classes,
+            config.settings.largest_stream_limit,
         )
         self.rtsp_server = RtspServer(
             reactor,
--- a/lotuspick/routing/dispatcher.py
+++ b/lotuspick/routing/dispatcher.py
@@ -36,6 +36,8 @@
 
 OVERLOAD_RETRY_AFTER_US = 1_000_000
 """Delay sent with the rejection of a request that exceeds the limit of open requests."""
+UNKNOWN_STREAM_LIMIT = 1 << 30
+"""Maximum number of streams on a server if none is given."""
 INDETERMINATE_US = 10_000_000
 """Time for which an answer to a withdrawn attempt may still arrive."""
 LEDGER_TICK_DIVISOR = 4
@@ -69,6 +71,7 @@
         session_classes: frozenset[str],
         retry_after_ms: int = 0,
         single_execution_classes: frozenset[str] = frozenset(),
+        stream_limit: int = UNKNOWN_STREAM_LIMIT,
     ) -> None:
         """Start without sessions.
 
@@ -81,6 +84,7 @@
             session_classes: the classes that requests may name.
             retry_after_ms: sent with a rejection while too many requests are open; 0: none.
             single_execution_classes: the classes whose sessions may be executed only once.
+            stream_limit: maximum number of streams on any server.
         """
         self.decisions, self.edge_servers, self.clock, self.schedule_tick = (
             decisions,
@@ -93,7 +97,7 @@
         self.lifecycle = SessionLifecycle(edge_servers, clock, single_execution_classes)
         self.sessions, self.connections = self.lifecycle.sessions, self.lifecycle.connections
         self.timers = self.lifecycle.timers
-        self.handlers = MessageHandlers(self.lifecycle, session_classes, retry_after_ms)
+        self.handlers = MessageHandlers(self.lifecycle, session_classes, retry_after_ms, stream_limit)
         self._last_tick_us = 0
         self._next_tick_us = 0  # 0: no tick is scheduled
 
--- a/lotuspick/routing/message_handlers.py
+++ b/lotuspick/routing/message_handlers.py
@@ -51,14 +51,22 @@
 MAX_OPEN_REQUESTS = 2_000
 """Maximum number of open requests."""
 MAX_OPEN_REQUEST_BYTES = 4 << 20
-"""Size of the titles and descriptions of open requests from which further ones are rejected."""
+"""Size of the texts of open requests from which further ones are rejected."""
+MAX_REPORTED_SESSIONS = 8_192
+"""Maximum number of sessions that viewers reported: more than the streams of a fleet."""
+MAX_REPORTED_BYTES = 4 << 20
+"""Size of the texts of reported sessions from which further ones end at once."""
 
 
 class MessageHandlers:
     """Has one method for each message type; owns the list of requests that expired in this tick."""
 
     def __init__(
-        self, lifecycle: SessionLifecycle, session_classes: frozenset[str], retry_after_ms: int
+        self,
+        lifecycle: SessionLifecycle,
+        session_classes: frozenset[str],
+        retry_after_ms: int,
+        stream_limit: int,
     ) -> None:
         """Handle messages for the sessions of ``lifecycle``.
 
@@ -66,12 +74,14 @@
             lifecycle: the sessions and the operations on them.
             session_classes: the classes that requests may name.
             retry_after_ms: sent with a rejection while too many requests are open; 0: none.
+            stream_limit: maximum number of streams on any server.
         """
         self.lifecycle, self.sessions = lifecycle, lifecycle.sessions
         self.connections, self.timers = lifecycle.connections, lifecycle.timers
         self.edge_servers, self.indeterminate = lifecycle.edge_servers, lifecycle.indeterminate
         self.executed = lifecycle.executed
         self.session_classes, self.retry_after_ms = session_classes, retry_after_ms
+        self.stream_limit = stream_limit
         self.admitting = True  # False while the broker stops
         self.expired: list[tuple[str, SessionRequest]] = []
 
@@ -185,6 +195,13 @@
     ) -> list[Event]:
         if entry is not None or request.session_class not in self.session_classes:
             return []
+        if self._exceeds_report_limits(request):
+            # No server plays so many sessions; the viewer of a real one is told that it has ended.
+            send_if_open(
+                message.viewer,
+                lambda viewer: viewer.released(request.session, TerminationReason.CONNECTION_LIMIT),
+            )
+            return []
         entry = SessionEntry(
             request,
             viewer=message.viewer,
@@ -197,6 +214,17 @@
         self.edge_servers.keep_connected(request.server)
         return [request]
 
+    def _exceeds_report_limits(self, request: SessionPlaying) -> bool:
+        """Return whether the table has no room for a session that a viewer reports.
+
+        Nothing ends a session that its server does not know.
+        """
+        return (
+            self.sessions.reported_count >= MAX_REPORTED_SESSIONS
+            or self.sessions.reported_bytes >= MAX_REPORTED_BYTES
+            or self.sessions.reported_by_server[request.server] >= self.stream_limit
+        )
+
     def _on_deadline(self, session: str, request: SessionRequest) -> Event | None:
         """Record a request whose deadline has passed.
 
@@ -281,7 +309,7 @@
         if entry is None or entry.server != message.server or not (entry.is_forwarded or entry.is_playing):
             return self._on_late_release(message, known=entry is not None)
         if entry.is_playing:
-            reason = message.reason_after_answer
+            reason, entry.may_have_executed = message.reason_after_answer, True
             return [self.lifecycle.end_session(session, entry, reason, now, message.load_report)]
         reason = message.reason_before_answer
         return [self.lifecycle.end_attempt(session, entry, reason, now, message.load_report)]
--- a/lotuspick/routing/session_table.py
+++ b/lotuspick/routing/session_table.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TypeVar
@@ -49,9 +50,11 @@
     timers: list[Timer] = field(default_factory=list)
     """Timers of the open request, cancelled once it plays or has ended."""
     may_have_executed: bool = False
-    """Whether an attempt was or may have been executed."""
+    """Whether an attempt was or may have been executed; of a reported session, by its server's word only."""
+    is_reported: bool = False
+    """Whether the session already played when its viewer reported it."""
     size_bytes: int = 0
-    """Size of the title and the description of the request."""
+    """Size of the texts of the request."""
     attempt_timer: Timer | None = None
     """Timer of the current attempt, cancelled once the attempt is answered or has ended."""
 
@@ -89,18 +92,25 @@
         self.by_connection: dict[ViewerConnection, set[str]] = {}
         self.open_request_count = 0
         self.open_request_bytes = 0
+        self.reported_count = 0
+        self.reported_by_server = Counter[str]()
+        self.reported_bytes = 0
 
     def add_request(self, session: str, entry: SessionEntry) -> None:
         """Add an open request."""
         self.entries[session] = entry
         self._link(session, entry.viewer)
-        entry.size_bytes = len(entry.request.title) + len(entry.description)
+        entry.size_bytes = _size_bytes(entry)
         self.open_request_count += 1
         self.open_request_bytes += entry.size_bytes
 
     def add_playing(self, session: str, entry: SessionEntry) -> None:
         """Add a session that already plays at ``entry.server``."""
-        entry.phase, entry.may_have_executed = DispatchPhase.PLAYING, True
+        entry.phase, entry.is_reported = DispatchPhase.PLAYING, True
+        entry.size_bytes = _size_bytes(entry)
+        self.reported_count += 1
+        self.reported_by_server[entry.server] += 1
+        self.reported_bytes += entry.size_bytes
         self._add_to_server(session, entry)
         self._link(session, entry.viewer)
 
@@ -133,6 +143,8 @@
             self._drop_duplicates(session, entry)
             if not entry.is_playing:
                 self._uncount_open_request(entry)
+            elif entry.is_reported:
+                self._uncount_reported(entry)
         self._remove_from_server(session, entry)
 
     def add_duplicate(self, session: str, entry: SessionEntry, viewer: ViewerConnection, now: int) -> None:
@@ -180,6 +192,13 @@
         self.open_request_count -= 1
         self.open_request_bytes -= entry.size_bytes
 
+    def _uncount_reported(self, entry: SessionEntry) -> None:
+        self.reported_count -= 1
+        self.reported_bytes -= entry.size_bytes
+        self.reported_by_server[entry.server] -= 1
+        if not self.reported_by_server[entry.server]:
+            del self.reported_by_server[entry.server]  # viewers may name any server
+
     def _add_to_server(self, session: str, entry: SessionEntry) -> None:
         self.entries[session] = entry
         self.by_server.setdefault(entry.server, set()).add(session)
@@ -202,6 +221,12 @@
         entry.duplicates.clear()
 
 
+def _size_bytes(entry: SessionEntry) -> int:
+    request = entry.request
+    texts = (request.title, request.viewer, request.tenant, request.token)
+    return sum(map(len, texts)) + len(entry.description)
+
+
 def _discard(index: dict[_Key, set[str]], key: _Key, session: str) -> None:
     """Remove a session from an index; remove its key with the last session."""
     sessions = index.get(key)
