--- a/tests/core/test_evaluation_limit.py
+++ b/tests/core/test_evaluation_limit.py
@@ -14,7 +14,7 @@
 from helpers import NOW, SECOND, controller, entry, of, request
 
 from lotuspick.core import tuning
-from lotuspick.core.actions import ForwardAttempt, RejectSession
+from lotuspick.core.actions import ForwardAttempt, RejectSession, StartTimer
 from lotuspick.core.controller import Controller
 from lotuspick.core.events import (
     AttemptEnded,
@@ -31,10 +31,11 @@
 
 
 class Fleet:
-    """A broker of which the examined servers are counted, call by call."""
+    """A broker of which the examined servers are counted, call by call; its timers fire when they are due."""
 
     def __init__(self, core: Controller) -> None:
         self.core, self.now, self.examined = core, NOW, 0
+        self.timers: dict[int, int] = {}
         is_usable = core.placement.is_usable
 
         def count(server: Any) -> bool:
@@ -44,14 +45,23 @@
         patch.object(core.placement, "is_usable", count).start()
 
     def handle(self, *events: Any) -> list[Any]:
-        """Handle the events and all timers of the queue that are due; the call examines a bounded number."""
+        """Handle the events and the timers that are due in the next tick; it examines a bounded number."""
         self.now += TICK_US
         self.examined = 0
-        timers = [TimerFired(timer_id) for timer_id in list(self.core.context.timers)]
-        actions = self.core.handle(self.now, [*events, *timers])
+        due = [timer_id for timer_id, due_us in self.timers.items() if due_us <= self.now]
+        for timer_id in due:
+            del self.timers[timer_id]
+        actions = self.core.handle(self.now, [*events, *map(TimerFired, due)])
+        for action in of(actions, StartTimer):
+            self.timers[action.timer_id] = self.now + action.delay_us
         assert self.examined <= 2 * LIMIT, "for new sessions, and for those evaluated before"
         return actions
 
+    @property
+    def is_due(self) -> bool:
+        """Whether a timer calls the decisions in the next tick."""
+        return any(due_us <= self.now + TICK_US for due_us in self.timers.values())
+
 
 @pytest.fixture
 def fleet() -> Iterator[Fleet]:
@@ -71,9 +81,8 @@
 
 def test_requests_at_once_are_evaluated_in_several_calls_and_each_is_answered(fleet: Fleet) -> None:
     forwarded = [len(of(fleet.handle(*burst()), ForwardAttempt))]
-    while sum(forwarded) < REQUESTS:
+    while fleet.is_due:
         forwarded.append(len(of(fleet.handle(), ForwardAttempt)))
-        assert forwarded[-1], "the next call goes on without waiting for the poll of the queue"
     assert forwarded == [4, 4, 4, 4, 4, 4, 4, 2]
 
 
@@ -90,6 +99,25 @@
     assert "usual" in {action.session for action in forwarded}
 
 
+def test_request_that_examines_more_servers_than_the_limit_is_evaluated(fleet: Fleet) -> None:
+    with patch.object(tuning, "EXAMINED_SERVERS_LIMIT", SERVERS - 1):
+        forwarded = of(fleet.handle(request("usual", NOW)), ForwardAttempt)
+    assert [action.session for action in forwarded] == ["usual"]
+
+
+def test_queued_sessions_are_evaluated_again_beside_a_burst(fleet: Fleet) -> None:
+    older = request("older", NOW, home_position=1, copies=1)
+    holders = fleet.core.context.servers_by_position[1]
+    for server in holders:
+        server.ejected_until = NOW + 10 * SECOND
+    fleet.handle(older)
+    for server in holders:
+        server.ejected_until = 0
+    batch_size = tuning.REEVALUATION_BATCH_SIZE
+    newer = [request(f"bad{number}", NOW, source="bad") for number in range(2 * batch_size)]
+    assert "older" in {action.session for action in of(fleet.handle(*newer), ForwardAttempt)}
+
+
 def test_requests_that_are_not_evaluated_by_the_end_of_their_wait_are_rejected(fleet: Fleet) -> None:
     fleet.handle(*burst())
     fleet.now += SECOND
--- a/tests/integration/test_address_taken_over.py
+++ b/tests/integration/test_address_taken_over.py
@@ -78,8 +78,8 @@
         self.set_up(viewer, new, THIRD_ID)
         self.list_new_server(removed_first=removed_first)
         dispatcher = self.daemon.dispatcher
-        self.run_until(lambda: not dispatcher.sessions.entries)
-        self.assertEqual(dispatcher.sessions_at("s-e0"), 0)
+        dispatcher.tick()
+        self.assertEqual(dispatcher.sessions.entries, {})
         self.wait_for_all(
             viewer, [b"Session: " + session.hex().encode() for session in (ID, SECOND_ID, THIRD_ID)]
         )
--- a/tests/integration/test_unlisted_servers.py
+++ b/tests/integration/test_unlisted_servers.py
@@ -19,6 +19,7 @@
 from lotuspick.transport.edge_servers.edge_server_client import NO_ADDRESS_TIMEOUT_S
 
 REPORTS = 150
+STREAM_LIMIT = 30  # of the settings
 PASSES_PER_SWEEP = 2  # the sweep itself, and at most one check of the suspected zones
 
 
@@ -94,3 +95,12 @@
             viewer.sendall(report(200, "s-e0"))
             self.accept_edge_connection()
             self.assertIn(f"{200:016x}", self.daemon.dispatcher.sessions.entries)
+
+    def test_reported_sessions_over_the_streams_of_a_listed_server_end_at_once(self) -> None:
+        """Guards against memory that grows with reports of sessions that their server does not know."""
+        self.run_until(lambda: self.daemon.controller.servers)
+        viewer = self.connect()
+        viewer.sendall(b"".join(report(100 + index, "s-e0") for index in range(STREAM_LIMIT + 1)))
+        last = b"%016x" % (100 + STREAM_LIMIT)
+        self.wait_for_bytes(viewer, b"TEARDOWN rtsp://media/" + last)
+        self.assertEqual(len(self.daemon.dispatcher.sessions.entries), STREAM_LIMIT)
--- a/tests/routing/test_ended_requests.py
+++ b/tests/routing/test_ended_requests.py
@@ -167,3 +167,15 @@
     assert broker.dispatcher.sessions.open_request_bytes == 0
     broker.ask("s3", title="x" * 1_000)
     assert "s3" in broker.dispatcher.sessions.entries
+
+
+def test_timer_of_a_session_that_is_gone_is_not_started() -> None:
+    """Its viewer has left in the moment of its forwarding: nothing would cancel the timer."""
+    broker = Broker()
+    broker.viewer.is_closed_by_viewer = True
+    broker.ask("s")
+    assert not broker.dispatcher.sessions.entries
+    assert len(broker.dispatcher.timers) == 2  # the end of the session for the decisions, in the next tick
+    broker.tick()
+    assert len(broker.dispatcher.timers) == 0
+    assert not broker.core.sessions
--- a/tests/routing/test_executed_sessions.py
+++ b/tests/routing/test_executed_sessions.py
@@ -25,7 +25,10 @@
 from lotuspick.routing.messages import (
     AttemptAnswered,
     AttemptTerminated,
+    EdgeServerFailed,
     EdgeServerReleased,
+    EdgeServerReplaced,
+    SessionCancelled,
     SessionRequested,
     ViewerConnectionClosed,
 )
@@ -61,7 +64,35 @@
     broker.dispatcher.answer_open_requests()
 
 
+def play(broker: Broker, session: str) -> str:
+    """Let the session's edge server answer; return the server."""
+    server = broker.server_of(session)
+    broker.tick(AttemptAnswered(server, session, b"sdp"))
+    return server
+
+
+def end_by_teardown_while_playing(broker: Broker, session: str) -> None:
+    play(broker, session)
+    broker.tick(SessionCancelled(session))
+
+
+def end_by_server_failure_while_playing(broker: Broker, session: str) -> None:
+    broker.tick(EdgeServerFailed(play(broker, session), TerminationReason.SERVER_DOWN))
+
+
+def end_by_replacement_while_playing(broker: Broker, session: str) -> None:
+    broker.tick(EdgeServerReplaced(play(broker, session)))
+
+
+def end_by_replacement(broker: Broker, session: str) -> None:
+    broker.tick(EdgeServerReplaced(broker.server_of(session)))
+
+
 ENDS = [
+    end_by_teardown_while_playing,
+    end_by_server_failure_while_playing,
+    end_by_replacement_while_playing,
+    end_by_replacement,
     end_by_answer,
     end_by_error,
     end_by_loss,
--- a/tests/test_plugin.py
+++ b/tests/test_plugin.py
@@ -99,6 +99,19 @@
             starts = [call[1] for call in self.library.calls if call[:1] + call[2:3] == ("start", session)]
             self.assertEqual(len(starts), 1 if answered else 2)
 
+    def test_paid_session_that_ran_is_not_started_again(self) -> None:
+        self.request_session("a", session_class="exam")
+        self.run_for(SECOND // 10)
+        server = self.library.calls[-1][1]
+        self.plugin.answered(server, "a", b"reply")
+        self.run_for(SECOND // 10)
+        self.plugin.ended(server, "a", TerminationReason.FINISHED)
+        self.run_for(SECOND // 10)
+        self.request_session("a", session_class="exam")
+        self.run_for(SECOND // 10)
+        self.assertEqual(self.answers[2:], [Failed("a")])
+        self.assertEqual([call[0] for call in self.library.calls], ["start"])
+
     def test_late_step_still_delivers_the_answer_of_the_decisions(self) -> None:
         self.plugin.servers(ServerListUpdate([], complete=True))
         for session, sent in (("queued", False), ("sent", True)):
--- a/tests/transport/test_edge_server_client.py
+++ b/tests/transport/test_edge_server_client.py
@@ -116,6 +116,18 @@
     def test_server_without_a_connection_is_replaced(self) -> None:
         self.assertEqual(self.list_at_the_address(999, True), [EdgeServerReplaced("e")])
 
+    def test_address_of_a_client_that_is_deleted_is_forgotten(self) -> None:
+        """Guards against a table that grows with each server that was ever removed."""
+        self.open_sessions = 0
+        address = ("127.0.0.1", 9)
+        self.pool.update_endpoints(ServerListUpdate([ServerEntry("e", "a", "box", 0)]), {"e": address})
+        self.pool.update_endpoints(ServerListUpdate([ServerEntry("e", "a", "box", 0, "gone")]), {})
+        self.assertEqual(set(self.pool.former_clients), {address})
+        self.pool.start()
+        self.clock.advance(0.1)
+        self.assertFalse(self.pool.clients)
+        self.assertFalse(self.pool.former_clients)
+
     def test_server_whose_connection_is_older_than_the_new_one_is_not_replaced(self) -> None:
         self.connect().opened_us = 998
         self.assertEqual(self.list_at_the_address(999, False), [])
