Count the name of the server in the size of a reported session

Cause: a report creates a client of the server that it names, 4,096 at most, and limited the texts of reports without that name.

Change: the name counts. Read: the other texts of a request (title, viewer, tenant, token, description), ids (16 digits) and classes (from the settings).

--- a/lotuspick/routing/session_table.py
+++ b/lotuspick/routing/session_table.py
@@ -222,8 +222,9 @@
 
 
 def _size_bytes(entry: SessionEntry) -> int:
+    """Return the size of the texts of a request, with the server that a report names."""
     request = entry.request
-    texts = (request.title, request.viewer, request.tenant, request.token)
+    texts = (request.title, request.viewer, request.tenant, request.token, entry.server)
     return sum(map(len, texts)) + len(entry.description)
 
 
--- a/tests/routing/test_reported_sessions.py
+++ b/tests/routing/test_reported_sessions.py
@@ -76,6 +76,16 @@
     assert broker.sessions == {"r0", "r1"}
 
 
+def test_names_of_reported_servers_are_limited_in_size(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against memory that grows with the names: a report creates a client of the server that it names."""
+    monkeypatch.setattr(message_handlers, "MAX_REPORTED_BYTES", 1_000)
+    broker = ReportingBroker()
+    for number in range(3):
+        broker.report(f"r{number}", server=f"{number}" + "x" * 600)
+    assert broker.sessions == {"r0", "r1"}
+    assert broker.edge_servers.keep_connected.call_count == 2
+
+
 def test_limits_of_reported_sessions_leave_requests_alone() -> None:
     broker = ReportingBroker(stream_limit=1)
     broker.report("a")
